Serve a request from end to end by separate processes

Change: npm workspaces with schemas (generated types and validators), decision code, framing and connections, entry, agent, command line and stand-ins of the platform, engines and plain services. A chat runs over three stages on separate processes; a lookup and a payment go to a plain service. A lost stage is retried with the prompt and the delivered tokens on another chain.

Not yet proved: anything under failure.

--- /dev/null
+++ b/packages/agent/src/agent.ts
@@ -0,0 +1,229 @@
+/** The agent: the only voice to the target beside it. */
+import Emittery from 'emittery';
+import type { Logger } from 'pino';
+import {
+  createConfigHolder, ProtocolError, SystemClock, type Clock,
+} from '@verbenashunt/core';
+import type {
+  AgentSettings, Hello, LoadedModel, Message, TargetState,
+} from '@verbenashunt/schema';
+import {
+  createPlatformClient, listenForPeers, protocolVersion, type Connection,
+} from '@verbenashunt/wire';
+import { createCallTable } from './calls/call-table.js';
+import { serveAgentHttp } from './http/server.js';
+import { takeIncarnation } from './incarnation.js';
+import { createAgentMetrics } from './metrics.js';
+import { createLinks } from './peers/links.js';
+import { createStageTable } from './stages/stage-table.js';
+import { createEngineTarget, type EngineHandlers } from './targets/engine-target.js';
+import { createServiceTarget } from './targets/service-target.js';
+
+/** Time that an entry's work is kept after its connection was lost, in milliseconds. */
+const entryGraceMs = 3000;
+const drainPollMs = 20;
+
+export interface AgentEvents {
+  serving: boolean;
+  draining: undefined;
+  config: number;
+}
+
+export interface Agent {
+  readonly peerPort: number;
+  readonly httpPort: number;
+  readonly events: Emittery<AgentEvents>;
+  /** Takes no new work, waits for what is in flight, then closes. */
+  stop(): Promise<void>;
+}
+
+/** Sends an answer to the peer that a message came from. */
+type Reply = (answer: Message) => void;
+
+export interface AgentDeps {
+  log: Logger;
+  clock?: Clock;
+  random?: () => number;
+}
+
+export async function createAgent(cfg: AgentSettings, deps: AgentDeps): Promise<Agent> {
+  const { log, clock = new SystemClock(), random = Math.random } = deps;
+  const events = new Emittery<AgentEvents>();
+  const metrics = createAgentMetrics();
+  const platform = createPlatformClient(cfg.platformUrl);
+  const incarnation = await takeIncarnation(platform, cfg.target, clock);
+  const maxActive = cfg.maxActive ?? 64;
+  let loaded: LoadedModel[] = [];
+  let accelerator: TargetState['accelerator'];
+  let serving = cfg.targetKind === 'service';
+  let draining = false;
+  const entries = new Map<string, Connection>();
+
+  const config = createConfigHolder((view) => {
+    metrics.revision(view.revision);
+    log.info({ revision: view.revision }, 'configuration in force');
+    events.emit('config', view.revision);
+  });
+
+  const common = {
+    incarnation,
+    maxActive,
+    revision: () => config.revision,
+    admitting: () => serving && !draining,
+  };
+  const service = createServiceTarget(cfg.targetUrl);
+  const calls = createCallTable({ ...common, service });
+  /* eslint-disable @typescript-eslint/no-use-before-define -- table and target know each other */
+  const stages = createStageTable({
+    ...common,
+    loaded: () => loaded,
+    run: (op) => engine?.run(op),
+    forward: (hop, message) => links.send(hop, message),
+    count: metrics.stage,
+  });
+  /* eslint-enable @typescript-eslint/no-use-before-define */
+
+  const state = (): TargetState => ({
+    target: cfg.target,
+    kind: cfg.targetKind,
+    fleet: cfg.fleet,
+    serving,
+    draining,
+    loaded,
+    load: (cfg.targetKind === 'engine' ? stages : calls).load(),
+    ...(accelerator ? { accelerator } : {}),
+  });
+  const hello = (): Hello => ({
+    t: 'hello',
+    version: protocolVersion,
+    role: 'agent',
+    node: cfg.node,
+    zone: cfg.zone,
+    region: cfg.region,
+    incarnation,
+    revision: config.revision,
+    state: state(),
+  });
+  const tellEntries = () => entries.forEach((entry) => entry.send({ t: 'state', state: state() }));
+
+  function setServing(value: boolean) {
+    if (serving === value) return;
+    serving = value;
+    metrics.serving(value);
+    log.info({ serving }, 'target state');
+    events.emit('serving', value);
+  }
+
+  function setLoaded(status: { loaded: LoadedModel[]; accelerator: TargetState['accelerator'] }) {
+    const changed = JSON.stringify(status.loaded) !== JSON.stringify(loaded);
+    ({ loaded, accelerator } = status);
+    if (changed) tellEntries();
+  }
+
+  const engineHandlers: EngineHandlers = {
+    onOutput: stages.output,
+    onUp(status) {
+      setServing(true);
+      setLoaded(status);
+      tellEntries();
+    },
+    onStatus: setLoaded,
+    onDown() {
+      setServing(false);
+      stages.engineLost();
+      tellEntries();
+    },
+  };
+  const engine = cfg.targetKind === 'engine'
+    ? createEngineTarget(cfg.targetUrl, clock, engineHandlers)
+    : undefined;
+
+  const requests = engine ? stages : calls;
+  /** What each message does; those that an agent does not take are dropped. */
+  const handlers: { [T in Message['t']]?: (message: Extract<Message, { t: T }>, reply: Reply) => void } = {
+    offer: stages.offer,
+    start: stages.start,
+    step: stages.step,
+    feed: stages.feed,
+    call: calls.call,
+    cancel: ({ req, attempt }, reply) => requests.cancel(req, attempt, reply),
+    status: ({ req, attempt }, reply) => requests.status(req, attempt, reply),
+    ping: ({ n }, reply) => reply({
+      t: 'pong', n, revision: config.revision, load: requests.load(),
+    }),
+    config: ({ record }) => config.offer(record),
+    configAsk({ revision }, reply) {
+      if (!config.record || config.revision <= revision) return;
+      reply({ t: 'config', revision: config.revision, record: config.record });
+    },
+  };
+
+  function receive(message: Message, reply: Reply) {
+    const handler = handlers[message.t] as ((message: Message, reply: Reply) => void) | undefined;
+    handler?.(message, reply);
+  }
+
+  const links = createLinks({
+    clock,
+    random,
+    hello,
+    onMessage: (message) => receive(message, () => {}),
+    onLost: stages.hopLost,
+  });
+
+  /** Sends to the entry's newest connection, so that answers survive a reconnect. */
+  const replyTo = (connection: Connection) => (message: Message) => {
+    (entries.get(connection.peer.node) ?? connection).send(message);
+  };
+
+  const listener = await listenForPeers(cfg.host ?? '127.0.0.1', cfg.peerPort, hello, {
+    onOpen(connection) {
+      if (connection.peer.role === 'entry') entries.set(connection.peer.node, connection);
+    },
+    onMessage(connection, message) {
+      receive(message, replyTo(connection));
+    },
+    onClose(connection, err) {
+      if (err instanceof ProtocolError) metrics.protocolErrors();
+      const { peer } = connection;
+      if (!peer || entries.get(peer.node) !== connection) return;
+      entries.delete(peer.node);
+      clock.after(entryGraceMs, () => {
+        if (!entries.has(peer.node)) stages.entryLost(peer.node);
+      });
+    },
+  });
+  const http = await serveAgentHttp(cfg.host ?? '127.0.0.1', cfg.httpPort, {
+    ready: () => serving && !draining,
+    metrics() {
+      metrics.active(stages.active + calls.active);
+      return metrics.registry.metrics();
+    },
+  });
+  log.info({ node: cfg.node, incarnation, peerPort: listener.port }, 'agent started');
+
+  async function drained(deadline: number): Promise<void> {
+    if (stages.active + calls.active === 0 || clock.now() >= deadline) return undefined;
+    await new Promise<void>((resolve) => {
+      clock.after(drainPollMs, resolve);
+    });
+    return drained(deadline);
+  }
+
+  return {
+    peerPort: listener.port,
+    httpPort: http.port,
+    events,
+    async stop() {
+      draining = true;
+      tellEntries();
+      log.info('draining');
+      await events.emit('draining');
+      await drained(clock.now() + (cfg.drainTimeoutMs ?? 120_000));
+      listener.close();
+      links.close();
+      await Promise.all([engine?.close(), service.close(), platform.close(), http.close()]);
+      log.info('stopped');
+    },
+  };
+}
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,5 @@
+/** The command line as a library. */
+export * from './cli.js';
+export * from './settings/resolve.js';
+export * from './declarations/load.js';
+export * from './client/operator-client.js';
--- /dev/null
+++ b/packages/cli/src/settings/resolve.ts
@@ -0,0 +1,86 @@
+/** One resolver for every setting: its flag, else its environment variable, else its default. */
+import { SettingsError } from '@verbenashunt/core';
+import type { ValidationIssue, Validator } from '@verbenashunt/schema';
+
+const envPrefix = 'VERBENASHUNT_';
+
+/** What the resolver reads of a setting's schema. */
+export interface SettingSchema {
+  type: string;
+  description?: string;
+  default?: string | number | boolean;
+  enum?: readonly string[];
+  minimum?: number;
+  maximum?: number;
+  pattern?: string;
+}
+
+export interface SettingsSchema {
+  required?: readonly string[];
+  properties: Record<string, SettingSchema>;
+}
+
+const kebab = (name: string) => name.replace(/[A-Z]/g, (c) => `-${c.toLowerCase()}`);
+
+export const flagOf = (name: string) => `--${kebab(name)}`;
+export const envOf = (name: string) => `${envPrefix}${kebab(name).replaceAll('-', '_').toUpperCase()}`;
+
+/** The values that a setting takes, in words. */
+export function rangeOf(schema: SettingSchema): string {
+  if (schema.enum) return `one of ${schema.enum.join(', ')}`;
+  if (schema.type === 'integer') return `a whole number from ${schema.minimum} to ${schema.maximum}`;
+  if (schema.type === 'boolean') return 'true or false';
+  return schema.pattern ? `text that matches ${schema.pattern}` : 'text';
+}
+
+const named = (name: string) => `${flagOf(name)} (${envOf(name)})`;
+
+function parse(schema: SettingSchema, text: string): unknown {
+  if (schema.type === 'integer' || schema.type === 'number') return text.trim() === '' ? text : Number(text);
+  if (schema.type === 'boolean') return { true: true, false: false }[text] ?? text;
+  return text;
+}
+
+function faultOf(
+  schema: SettingsSchema,
+  values: Record<string, unknown>,
+  issue: ValidationIssue,
+): string {
+  if (issue.keyword === 'required') {
+    const name = String(issue.params.missingProperty);
+    return `${named(name)} is missing; it takes ${rangeOf(schema.properties[name]!)}`;
+  }
+  const name = issue.instancePath.slice(1);
+  const property = schema.properties[name];
+  return property
+    ? `${named(name)} is "${String(values[name])}"; it takes ${rangeOf(property)}`
+    : `${name} ${issue.message}`;
+}
+
+function checkUnknown(schema: SettingsSchema, env: NodeJS.ProcessEnv) {
+  const known = new Set(Object.keys(schema.properties).map(envOf));
+  const unknown = Object.keys(env).find((key) => key.startsWith(envPrefix) && !known.has(key));
+  if (unknown) {
+    throw new SettingsError(`environment variable ${unknown} (value "${env[unknown]}") is not a setting; known are ${[...known].join(', ')}`);
+  }
+}
+
+/**
+ * Resolves and checks settings. Throws SettingsError that names flag, variable, value and range.
+ */
+export function resolveSettings<T>(
+  schema: SettingsSchema,
+  validator: Validator<T>,
+  flags: Record<string, string | undefined>,
+  env: NodeJS.ProcessEnv,
+): T {
+  checkUnknown(schema, env);
+  const texts = Object.keys(schema.properties)
+    .map((name) => [name, flags[name] ?? env[envOf(name)]] as const)
+    .filter((pair): pair is readonly [string, string] => pair[1] !== undefined);
+  const values: Record<string, unknown> = Object.fromEntries(
+    texts.map(([name, text]) => [name, parse(schema.properties[name]!, text)]),
+  );
+  if (validator(values)) return values;
+  throw new SettingsError(faultOf(schema, values, validator.errors![0]!));
+}
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,9 @@
+/** Decisions of the router, without I/O: time, random numbers and messages are passed in. */
+export * from './clock/clock.js';
+export * from './errors/errors.js';
+export * from './errors/refusals.js';
+export * from './routing/chain.js';
+export * from './config/canonical.js';
+export * from './config/view.js';
+export * from './config/holder.js';
+export * from './tokens/tokenizer.js';
--- /dev/null
+++ b/packages/entry/src/entry.ts
@@ -0,0 +1,226 @@
+/** The entry: callers' and operators' door, owner of every request that it took in. */
+import Emittery from 'emittery';
+import type { Logger } from 'pino';
+import {
+  chooseChain, createConfigHolder, SystemClock, type Clock,
+} from '@verbenashunt/core';
+import type { EntrySettings, Hello, Message } from '@verbenashunt/schema';
+import { createPlatformClient, protocolVersion, type Connection } from '@verbenashunt/wire';
+import { createConfigStore } from './config/store.js';
+import { createCallerHandlers } from './http/callers.js';
+import { createOperatorHandlers } from './http/operators.js';
+import { serveEntryHttp } from './http/server.js';
+import { createEntryMetrics } from './metrics.js';
+import { createAgentPeers, type AgentPeer } from './peers/agents.js';
+import { createGeneration } from './requests/generation.js';
+import { createRequestRegistry, type RequestRun } from './requests/registry.js';
+import { createServiceCall } from './requests/service-call.js';
+
+const drainPollMs = 20;
+const sameZoneLinkMs = 0.1;
+const otherZoneLinkMs = 0.25;
+const otherRegionLinkMs = 25;
+
+export interface EntryEvents {
+  config: number;
+}
+
+export interface Entry {
+  readonly httpPort: number;
+  readonly events: Emittery<EntryEvents>;
+  /** Takes no new requests, waits for those in flight, then closes. */
+  stop(): Promise<void>;
+}
+
+export interface EntryDeps {
+  log: Logger;
+  clock?: Clock;
+  random?: () => number;
+}
+
+export async function createEntry(cfg: EntrySettings, deps: EntryDeps): Promise<Entry> {
+  const { log, clock = new SystemClock(), random = Math.random } = deps;
+  const incarnation = clock.wall();
+  const events = new Emittery<EntryEvents>();
+  const metrics = createEntryMetrics();
+  const platform = createPlatformClient(cfg.platformUrl);
+  const store = createConfigStore(platform);
+  const requestTimeoutMs = cfg.requestTimeoutMs ?? 60_000;
+  let stopping = false;
+  let sequence = 0;
+  let cancelVmPoll = () => {};
+  let cancelHeadPoll = () => {};
+
+  /* eslint-disable @typescript-eslint/no-use-before-define -- each refers to the other */
+  const config = createConfigHolder((view) => {
+    metrics.revision(view.revision);
+    log.info({ revision: view.revision }, 'configuration in force');
+    peers.broadcast({ t: 'config', revision: view.revision, record: config.record! });
+    events.emit('config', view.revision);
+  });
+  /* eslint-enable @typescript-eslint/no-use-before-define */
+
+  const hello = (): Hello => ({
+    t: 'hello',
+    version: protocolVersion,
+    role: 'entry',
+    node: cfg.node,
+    zone: cfg.zone,
+    region: cfg.region,
+    incarnation,
+    revision: config.revision,
+  });
+
+  const registry = createRequestRegistry(metrics.protocolErrors);
+
+  /** Brings a peer forward, or asks it for what it has seen beyond this process. */
+  function levelConfig(connection: Connection) {
+    const { revision } = connection.peer;
+    if (config.record && revision < config.revision) {
+      connection.send({ t: 'config', revision: config.revision, record: config.record });
+    }
+    if (revision > config.revision) connection.send({ t: 'configAsk', revision: config.revision });
+  }
+
+  function receive(node: string, message: Message) {
+    if (message.t === 'config') config.offer(message.record);
+    else registry.receive(node, message);
+  }
+
+  const peers = createAgentPeers({
+    clock,
+    random,
+    hello,
+    onMessage: receive,
+    onOpen: levelConfig,
+    onLost: registry.lost,
+  });
+
+  async function pollVms() {
+    try {
+      peers.update(await platform.listVms());
+      metrics.agents(peers.list().length);
+    } catch {
+      // The last list stays in use; agents speak for themselves.
+    }
+    cancelVmPoll = clock.after(cfg.vmPollMs ?? 1000, pollVms);
+  }
+
+  async function pollHead() {
+    try {
+      const record = await store.readHead();
+      if (record) config.offer(record);
+    } catch {
+      // Serving goes on with the revision in force.
+    }
+    cancelHeadPoll = clock.after(cfg.headPollMs ?? 1000, pollHead);
+  }
+
+  function linkMs(zone: string, region: string, to: { zone: string; region: string }) {
+    if (region !== to.region) return otherRegionLinkMs;
+    return zone === to.zone ? sameZoneLinkMs : otherZoneLinkMs;
+  }
+
+  /** Creates a run and keeps it registered until it closes. */
+  function register<T extends RequestRun>(req: string, create: (closed: () => void) => T): T {
+    let closed = false;
+    const run = create(() => {
+      closed = true;
+      registry.remove(req);
+    });
+    if (!closed) registry.add(req, run);
+    return run;
+  }
+
+  const shared = {
+    clock, entry: cfg.node, revision: () => config.revision, agent: peers.get,
+  };
+
+  function pickTarget(
+    targets: readonly string[],
+    avoid: ReadonlySet<string>,
+  ): AgentPeer | undefined {
+    const able = peers.list().filter(({ node, state }) => targets.includes(state.target)
+      && state.serving && !state.draining && !avoid.has(node));
+    const pick = () => able[Math.floor(random() * able.length)];
+    const [a, b] = [pick(), pick()];
+    return a && b && b.own < a.own ? b : a;
+  }
+
+  const callers = createCallerHandlers({
+    clock,
+    config,
+    metrics,
+    maxBodyBytes: cfg.maxBodyBytes ?? 1_048_576,
+    requestTimeoutMs,
+    stopping: () => stopping,
+    nextId() {
+      sequence += 1;
+      return `${cfg.node}-${incarnation.toString(36)}-${sequence}`;
+    },
+    generate: (spec, sink) => register(spec.req, (closed) => createGeneration(spec, sink, {
+      ...shared,
+      closed,
+      choose: ({ model, version, layers }, avoid) => chooseChain({
+        layers,
+        candidates: peers.candidates(model, version).filter(({ node }) => !avoid.has(node)),
+        linkMs: (from, to) => linkMs(from?.zone ?? cfg.zone, from?.region ?? cfg.region, to),
+      }),
+    })),
+    call: (spec, targets, sink) => register(spec.req, (closed) => createServiceCall(spec, sink, {
+      ...shared, closed, choose: (avoid) => pickTarget(targets, avoid),
+    })),
+  });
+
+  const operators = createOperatorHandlers({
+    config,
+    store,
+    maxBodyBytes: cfg.maxBodyBytes ?? 1_048_576,
+    bootstrapOperatorHash: cfg.bootstrapOperatorHash,
+    wall: () => clock.wall(),
+    committed: (record) => config.offer(record),
+    state: () => ({
+      node: cfg.node,
+      revision: config.revision,
+      inFlight: registry.size,
+      agents: peers.list().map(({ send, ...peer }) => peer),
+    }),
+  });
+
+  await Promise.all([pollVms(), pollHead()]);
+  const http = await serveEntryHttp(cfg.host ?? '127.0.0.1', cfg.httpPort, cfg.maxConnections ?? 10_000, {
+    health: {
+      ready: () => config.view !== undefined && !stopping,
+      metrics() {
+        metrics.inFlight(registry.size);
+        return metrics.registry.metrics();
+      },
+    },
+    ...callers,
+    ...operators,
+  });
+  log.info({ node: cfg.node, incarnation, httpPort: http.port }, 'entry started');
+
+  async function drained(deadline: number): Promise<void> {
+    if (registry.size === 0 || clock.now() >= deadline) return undefined;
+    await new Promise<void>((resolve) => {
+      clock.after(drainPollMs, resolve);
+    });
+    return drained(deadline);
+  }
+
+  return {
+    httpPort: http.port,
+    events,
+    async stop() {
+      stopping = true;
+      log.info('draining');
+      await drained(clock.now() + (cfg.drainTimeoutMs ?? 120_000));
+      cancelVmPoll();
+      cancelHeadPoll();
+      peers.close();
+      await Promise.all([http.close(), platform.close()]);
+      log.info('stopped');
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry/src/http/callers.ts
@@ -0,0 +1,154 @@
+/** The callers' API of an entry: chat, models and plain services. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import {
+  createRefusal, isRepeatable, sha256, type Clock, type ConfigHolder, type ConfigView,
+} from '@verbenashunt/core';
+import type { Call, OrganisationDecl } from '@verbenashunt/schema';
+import type { EntryMetrics, RequestLabels } from '../metrics.js';
+import type { GenerationSink, GenerationSpec } from '../requests/generation.js';
+import type { RequestRun } from '../requests/registry.js';
+import type { ServiceCallSink, ServiceCallSpec } from '../requests/service-call.js';
+import { sendJson, sendRefusal } from './answers.js';
+import { readBody } from './body.js';
+import {
+  bearerOf, createChatSink, parseChat, promptOf,
+} from './chat.js';
+
+const defaultMaxTokens = 256;
+const chatPriority = 5;
+const millisecondsPerSecond = 1000;
+
+export interface CallerDeps {
+  clock: Clock;
+  config: ConfigHolder;
+  metrics: EntryMetrics;
+  maxBodyBytes: number;
+  requestTimeoutMs: number;
+  stopping(): boolean;
+  nextId(): string;
+  generate(spec: GenerationSpec, sink: GenerationSink): RequestRun;
+  call(spec: ServiceCallSpec, targets: readonly string[], sink: ServiceCallSink): RequestRun;
+}
+
+interface Admitted {
+  view: ConfigView;
+  org: OrganisationDecl;
+}
+
+const textHeaders = (req: IncomingMessage) => Object.fromEntries(
+  Object.entries(req.headers).map(([name, value]) => [name, Array.isArray(value) ? value.join(', ') : String(value)]),
+);
+
+export function createCallerHandlers(deps: CallerDeps) {
+  const { clock, metrics } = deps;
+
+  function admit(req: IncomingMessage): Admitted {
+    const { view } = deps.config;
+    if (!view) throw createRefusal('not_ready');
+    if (deps.stopping()) throw createRefusal('stopping');
+    const org = view.organisationOf(sha256(bearerOf(req)));
+    if (!org) throw createRefusal('unauthorized');
+    return { view, org };
+  }
+
+  function checkFleet({ org }: Admitted, fleet: string) {
+    if (org.fleets && !org.fleets.includes(fleet)) throw createRefusal('forbidden');
+  }
+
+  /** Measures a generation on its way to the caller. */
+  function measured(sink: GenerationSink, labels: RequestLabels): GenerationSink {
+    const startedAt = clock.now();
+    let lastAt: number | undefined;
+    const seconds = (since: number) => (clock.now() - since) / millisecondsPerSecond;
+    return {
+      token(token) {
+        if (lastAt === undefined) metrics.firstToken(labels, seconds(startedAt));
+        else metrics.betweenTokens(labels, seconds(lastAt));
+        lastAt = clock.now();
+        sink.token(token);
+      },
+      end(reason) {
+        metrics.outcome(labels, 'completed', seconds(startedAt));
+        sink.end(reason);
+      },
+      refuse(refusal) {
+        metrics.outcome(labels, refusal.code, seconds(startedAt));
+        sink.refuse(refusal);
+      },
+    };
+  }
+
+  return {
+    async chat(req: IncomingMessage, res: ServerResponse) {
+      const admitted = admit(req);
+      const chat = parseChat(await readBody(req, deps.maxBodyBytes));
+      const found = admitted.view.modelOf(chat.model);
+      if (!found) throw createRefusal('not_found', { detail: chat.model });
+      checkFleet(admitted, found.fleet);
+      const id = deps.nextId();
+      const prompt = promptOf(chat);
+      const createdSeconds = Math.floor(clock.wall() / millisecondsPerSecond);
+      const sink = createChatSink(res, {
+        id, model: chat.model, createdSeconds, promptTokens: prompt.length,
+      }, chat.stream ?? false);
+      const labels = { org: admitted.org.name, cls: 'chat' };
+      const run = deps.generate({
+        req: id,
+        ...labels,
+        model: found.model.name,
+        version: found.model.version,
+        layers: found.model.layers,
+        prompt,
+        maxTokens: chat.max_tokens ?? defaultMaxTokens,
+        priority: chatPriority,
+        deadline: clock.now() + deps.requestTimeoutMs,
+      }, measured(sink, labels));
+      res.on('close', run.cancel);
+    },
+
+    async models(req: IncomingMessage, res: ServerResponse) {
+      const { view, org } = admit(req);
+      const data = view.declarations.fleets
+        .filter(({ name }) => !org.fleets || org.fleets.includes(name))
+        .flatMap(({ name, models = [] }) => models
+          .map((model) => ({ id: model.name, object: 'model', owned_by: name })));
+      sendJson(res, 200, { object: 'list', data });
+    },
+
+    async service(req: IncomingMessage, res: ServerResponse) {
+      const admitted = admit(req);
+      const method = req.method as Call['method'];
+      const url = new URL(req.url ?? '/', 'http://entry');
+      const match = admitted.view.routeOf(method, url.pathname);
+      if (!match) throw createRefusal('not_found', { detail: `${method} ${url.pathname}` });
+      checkFleet(admitted, match.fleet);
+      const body = await readBody(req, deps.maxBodyBytes);
+      const id = deps.nextId();
+      const startedAt = clock.now();
+      const labels = { org: admitted.org.name, cls: match.route.cls ?? 'service' };
+      const finish = (outcome: string) => metrics
+        .outcome(labels, outcome, (clock.now() - startedAt) / millisecondsPerSecond);
+      const run = deps.call({
+        req: id,
+        ...labels,
+        method,
+        path: url.pathname + url.search,
+        headers: textHeaders(req),
+        body: body.toString('base64'),
+        repeatable: isRepeatable(match.route, method),
+        deadline: startedAt + (match.route.timeoutMs ?? deps.requestTimeoutMs),
+      }, match.route.targets, {
+        result(result) {
+          finish('completed');
+          res.writeHead(result.status, result.headers);
+          res.end(Buffer.from(result.body, 'base64'));
+        },
+        refuse(refusal) {
+          finish(refusal.code);
+          sendRefusal(res, refusal, id);
+        },
+      });
+      res.on('close', run.cancel);
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry/src/http/chat.ts
@@ -0,0 +1,97 @@
+/** POST /v1/chat/completions, streamed by server-sent events or whole. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { ByteTokenizer, createRefusal } from '@verbenashunt/core';
+import { validators, type ChatRequest } from '@verbenashunt/schema';
+import type { GenerationSink } from '../requests/generation.js';
+import { refusalBody, sendJson, sendRefusal } from './answers.js';
+import { parseJson } from './body.js';
+
+const tokenizer = new ByteTokenizer();
+
+/** Checks the body of a chat request. */
+export function parseChat(body: Buffer): ChatRequest {
+  const chat = parseJson(body);
+  if (validators.chatRequest(chat)) return chat;
+  const issue = validators.chatRequest.errors?.[0];
+  throw createRefusal('bad_request', { detail: `${issue?.instancePath || 'body'} ${issue?.message}` });
+}
+
+/** Prompt tokens of the messages in order. */
+export const promptOf = ({ messages }: ChatRequest) => tokenizer.encode(
+  messages.map(({ role, content }) => `${role}: ${content}\n`).join(''),
+);
+
+interface ChatAnswer {
+  id: string;
+  model: string;
+  createdSeconds: number;
+  promptTokens: number;
+}
+
+function streamedSink(res: ServerResponse, answer: ChatAnswer): GenerationSink {
+  const decode = tokenizer.createDecoder();
+  const head = JSON.stringify({
+    id: answer.id, object: 'chat.completion.chunk', created: answer.createdSeconds, model: answer.model,
+  }).slice(0, -1);
+  const chunk = (delta: string, reason: string) => `data: ${head},"choices":[{"index":0,"delta":${delta},"finish_reason":${reason}}]}\n\n`;
+  function open() {
+    if (res.headersSent) return;
+    res.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' });
+  }
+  return {
+    token(token) {
+      open();
+      res.write(chunk(`{"content":${JSON.stringify(decode(token))}}`, 'null'));
+    },
+    end(reason) {
+      open();
+      res.end(`${chunk('{}', `"${reason}"`)}data: [DONE]\n\n`);
+    },
+    refuse(refusal) {
+      // After the first token the status line is gone; the error event takes its place.
+      if (res.headersSent) res.end(`event: error\ndata: ${JSON.stringify(refusalBody(refusal, answer.id))}\n\n`);
+      else sendRefusal(res, refusal, answer.id);
+    },
+  };
+}
+
+function wholeSink(res: ServerResponse, answer: ChatAnswer): GenerationSink {
+  const decode = tokenizer.createDecoder();
+  let text = '';
+  let count = 0;
+  return {
+    token(token) {
+      text += decode(token);
+      count += 1;
+    },
+    end(reason) {
+      sendJson(res, 200, {
+        id: answer.id,
+        object: 'chat.completion',
+        created: answer.createdSeconds,
+        model: answer.model,
+        choices: [{ index: 0, message: { role: 'assistant', content: text }, finish_reason: reason }],
+        usage: {
+          prompt_tokens: answer.promptTokens,
+          completion_tokens: count,
+          total_tokens: answer.promptTokens + count,
+        },
+      });
+    },
+    refuse: (refusal) => sendRefusal(res, refusal, answer.id),
+  };
+}
+
+/** Writes the answer of a generation to its caller. */
+export const createChatSink = (
+  res: ServerResponse,
+  answer: ChatAnswer,
+  stream: boolean,
+): GenerationSink => (stream ? streamedSink(res, answer) : wholeSink(res, answer));
+
+/** Bearer key of a request; refuses one without. */
+export function bearerOf(req: IncomingMessage): string {
+  const match = /^Bearer (.+)$/i.exec(req.headers.authorization ?? '');
+  if (!match) throw createRefusal('unauthorized');
+  return match[1]!;
+}
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,6 @@
+/** The entry daemon as a library. */
+export * from './entry.js';
+export * from './requests/generation.js';
+export * from './requests/service-call.js';
+export * from './requests/registry.js';
+export * from './config/store.js';
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,7 @@
+/** Framing and connections between the system's processes, and the platform client. */
+export * from './framing.js';
+export * from './connection.js';
+export * from './dial.js';
+export * from './listen.js';
+export * from './platform.js';
+export * from './health.js';
--- /dev/null
+++ b/scripts/setup.mjs
@@ -0,0 +1,19 @@
+/** Installs the dependencies and builds the packages when either is out of date. */
+import { spawnSync } from 'node:child_process';
+import { existsSync, statSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+
+const root = fileURLToPath(new URL('..', import.meta.url));
+const modifiedAt = (file) => (existsSync(file) ? statSync(file).mtimeMs : 0);
+
+function run(command, args) {
+  const stdio = ['ignore', 'inherit', 'inherit'];
+  const { status } = spawnSync(command, args, { cwd: root, stdio });
+  if (status !== 0) throw new Error(`${command} ${args.join(' ')} ended with ${status}`);
+}
+
+const installed = modifiedAt(`${root}/node_modules/.package-lock.json`);
+const locked = modifiedAt(`${root}/package-lock.json`);
+const clockSlackMs = 1000;
+if (installed === 0 || installed < locked - clockSlackMs) run('npm', ['ci']);
+run('npm', ['run', '--silent', 'build']);
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,18 @@
+import { fileURLToPath } from 'node:url';
+import { defineConfig } from 'vitest/config';
+
+export default defineConfig({
+  resolve: {
+    alias: [{
+      find: /^@verbenashunt\/([a-z-]+)$/,
+      replacement: `${fileURLToPath(new URL('./packages/', import.meta.url))}$1/src/index.ts`,
+    }],
+  },
+  test: {
+    include: ['test/**/*.test.ts'],
+    testTimeout: 60_000,
+    hookTimeout: 60_000,
+    maxWorkers: 4,
+    server: { deps: { inline: ['clipanion'] } },
+  },
+});
