Give requests a way to hear of a resumed connection

Cause: an agent's connection that breaks is not the loss of its work; requests could only hear of a loss.

Nothing calls it yet; membership and the request's life are built on it next.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -94,6 +94,7 @@
     onMessage: receive,
     onOpen: levelConfig,
     onLost: registry.lost,
+    onResumed: registry.resumed,
   });
 
   async function pollVms() {
--- a/packages/entry/src/peers/agents.ts
+++ b/packages/entry/src/peers/agents.ts
@@ -42,7 +42,10 @@
   hello: () => Hello;
   onMessage(node: string, message: Message): void;
   onOpen(connection: Connection): void;
+  /** The agent is gone, with what it held. */
   onLost(node: string): void;
+  /** A new connection to the same incarnation replaced one that broke. */
+  onResumed(node: string): void;
 }
 
 interface Tracked {
--- a/packages/entry/src/requests/generation.ts
+++ b/packages/entry/src/requests/generation.ts
@@ -7,6 +7,7 @@
 } from '@verbenashunt/core';
 import type { Message, Offer } from '@verbenashunt/schema';
 import type { AgentPeer } from '../peers/agents.js';
+import type { RequestRun } from './registry.js';
 
 const offerTimeoutMs = 1000;
 const maxAttempts = 5;
@@ -42,13 +43,7 @@
   closed(): void;
 }
 
-export interface Generation {
-  receive(node: string, message: Message): void;
-  /** The connection to an agent was lost. */
-  lost(node: string): void;
-  /** The caller is gone. */
-  cancel(): void;
-}
+export type Generation = RequestRun;
 
 interface Attempt {
   number: number;
@@ -216,6 +211,7 @@
     lost(node) {
       if (!over && attempt?.nodes.includes(node)) retry('interrupted', node);
     },
+    resumed() {},
     cancel() {
       if (!over) close();
     },
--- a/packages/entry/src/requests/registry.ts
+++ b/packages/entry/src/requests/registry.ts
@@ -4,7 +4,10 @@
 /** What every kind of request in flight hears. */
 export interface RequestRun {
   receive(node: string, message: Message): void;
+  /** The agent is gone, with what it held. */
   lost(node: string): void;
+  /** A new connection to the same incarnation replaced one that broke. */
+  resumed(node: string): void;
   cancel(): void;
 }
 
@@ -14,6 +17,7 @@
   remove(req: string): void;
   receive(node: string, message: Message): void;
   lost(node: string): void;
+  resumed(node: string): void;
 }
 
 /** Creates a registry; frames of unknown requests are counted and dropped. */
@@ -32,5 +36,6 @@
       else if (message.t !== 'cancelled') onForeign();
     },
     lost: (node) => [...runs.values()].forEach((run) => run.lost(node)),
+    resumed: (node) => [...runs.values()].forEach((run) => run.resumed(node)),
   };
 }
--- a/packages/entry/src/requests/service-call.ts
+++ b/packages/entry/src/requests/service-call.ts
@@ -4,6 +4,7 @@
 } from '@verbenashunt/core';
 import type { Call, CallResult, Message } from '@verbenashunt/schema';
 import type { AgentPeer } from '../peers/agents.js';
+import type { RequestRun } from './registry.js';
 
 const maxAttempts = 3;
 
@@ -27,11 +28,7 @@
   refuse(refusal: Refusal): void;
 }
 
-export interface ServiceCall {
-  receive(node: string, message: Message): void;
-  lost(node: string): void;
-  cancel(): void;
-}
+export type ServiceCall = RequestRun;
 
 export function createServiceCall(
   spec: ServiceCallSpec,
@@ -117,6 +114,7 @@
       if (spec.repeatable) retry('no_target');
       else refuse('outcome_unknown');
     },
+    resumed() {},
     cancel() {
       if (!over) close();
     },
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -12,7 +12,7 @@
     include: ['test/**/*.test.ts'],
     testTimeout: 60_000,
     hookTimeout: 60_000,
-    maxWorkers: 4,
+    maxWorkers: 3,
     server: { deps: { inline: ['clipanion'] } },
   },
 });
