--- a/packages/entry/src/requests/service-call.ts
+++ b/packages/entry/src/requests/service-call.ts
@@ -2,7 +2,7 @@
 import {
   createRefusal, type CancelTimer, type Clock, type Refusal, type RefusalCode,
 } from '@verbenashunt/core';
-import type { Call, CallResult, Message } from '@verbenashunt/schema';
+import type { Call, CallResult } from '@verbenashunt/schema';
 import type { AgentPeer } from '../peers/agents.js';
 import type { RequestRun } from './registry.js';
 
