Bound what callers can make an entry hold, and stop it politely

Cause: the frame of the thin path had no bounds below the routes. An unread stream grew without bound, a header or path longer than a Call message closed the connection to the agent with all its requests, a prompt beyond the Start message's bound did the same, an unknown flag ended with code 1 and the parser's own text, a transaction answered 404 counted as written, and a drain forgot answers that were still on their way out. Change: a listener with bounds on connections, headers, times and unread answers; checks before a call is put on the wire; one wait for the drain of both daemons, cut short by a second signal; flags checked against the commands; typed answers of the platform client.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -8,7 +8,7 @@
   AgentSettings, Hello, LoadedModel, Message, TargetState,
 } from '@verbenashunt/schema';
 import {
-  createPlatformClient, listenForPeers, protocolVersion, type Connection,
+  createPlatformClient, drain, listenForPeers, protocolVersion, type Connection,
 } from '@verbenashunt/wire';
 import { createCallTable } from './calls/call-table.js';
 import { serveAgentHttp } from './http/server.js';
@@ -21,7 +21,6 @@
 
 /** Time that an entry's work is kept after its connection was lost, in milliseconds. */
 const entryGraceMs = 3000;
-const drainPollMs = 20;
 
 export interface AgentEvents {
   serving: boolean;
@@ -33,8 +32,11 @@
   readonly peerPort: number;
   readonly httpPort: number;
   readonly events: Emittery<AgentEvents>;
-  /** Takes no new work, waits for what is in flight, then closes. */
-  stop(): Promise<void>;
+  /**
+   * Takes no new work, waits for what is in flight, then closes. Resolves to whether all ran to
+   * its end; it is cut off at the drain timeout and when `hurry` aborts.
+   */
+  stop(hurry?: AbortSignal): Promise<boolean>;
 }
 
 /** Sends an answer to the peer that a message came from. */
@@ -202,28 +204,27 @@
   });
   log.info({ node: cfg.node, incarnation, peerPort: listener.port }, 'agent started');
 
-  async function drained(deadline: number): Promise<void> {
-    if (stages.active + calls.active === 0 || clock.now() >= deadline) return undefined;
-    await new Promise<void>((resolve) => {
-      clock.after(drainPollMs, resolve);
-    });
-    return drained(deadline);
-  }
-
   return {
     peerPort: listener.port,
     httpPort: http.port,
     events,
-    async stop() {
+    async stop(hurry) {
       draining = true;
       tellEntries();
       log.info('draining');
       await events.emit('draining');
-      await drained(clock.now() + (cfg.drainTimeoutMs ?? 120_000));
+      const whole = await drain({
+        clock,
+        noticeMs: 0,
+        timeoutMs: cfg.drainTimeoutMs ?? 120_000,
+        hurry,
+        idle: () => stages.active + calls.active === 0,
+      });
       listener.close();
       links.close();
       await Promise.all([engine?.close(), service.close(), platform.close(), http.close()]);
-      log.info('stopped');
+      log.info({ whole }, 'stopped');
+      return whole;
     },
   };
 }
--- a/packages/cli/src/bin.ts
+++ b/packages/cli/src/bin.ts
@@ -1,3 +1,4 @@
-import { createCli } from './cli.js';
+import { Cli } from 'clipanion';
+import { runCli } from './run.js';
 
-await createCli().runExit(process.argv.slice(2));
+process.exitCode = await runCli(process.argv.slice(2), Cli.defaultContext);
--- a/packages/cli/src/commands/daemon.ts
+++ b/packages/cli/src/commands/daemon.ts
@@ -12,8 +12,12 @@
 /** Exit code for a call that is wrong in its settings or arguments. */
 export const usageExitCode = 2;
 
+/** Exit code of a daemon that ended before its requests did. */
+const cutShortExitCode = 1;
+
 interface Daemon {
-  stop(): Promise<void>;
+  /** Stops gracefully; resolves to whether all requests ran to their end. */
+  stop(hurry: AbortSignal): Promise<boolean>;
   /** What is printed on standard output once the daemon serves. */
   ready: Record<string, number>;
 }
@@ -26,10 +30,17 @@
   start(cfg: T, log: Logger): Promise<Daemon>;
 }
 
-function stopSignal(): Promise<NodeJS.Signals> {
+/** Resolves at the first signal to stop; a second one aborts `hurry`. */
+function stopSignal(hurry: AbortController): Promise<void> {
   return new Promise((resolve) => {
-    process.once('SIGTERM', resolve);
-    process.once('SIGINT', resolve);
+    let signals = 0;
+    const count = () => {
+      signals += 1;
+      if (signals === 1) resolve();
+      else hurry.abort();
+    };
+    process.on('SIGTERM', count);
+    process.on('SIGINT', count);
   });
 }
 
@@ -64,9 +75,9 @@
         const log = pino({ level: cfg.logLevel ?? 'info', name: spec.name }, pino.destination(2));
         const daemon = await spec.start(cfg, log);
         this.context.stdout.write(`${JSON.stringify({ ready: daemon.ready })}\n`);
-        await stopSignal();
-        await daemon.stop();
-        return 0;
+        const hurry = new AbortController();
+        await stopSignal(hurry);
+        return await daemon.stop(hurry.signal) ? 0 : cutShortExitCode;
       } catch (err) {
         if (!(err instanceof SettingsError)) throw err;
         this.context.stderr.write(`${err.message}\n`);
--- a/packages/cli/src/settings/resolve.ts
+++ b/packages/cli/src/settings/resolve.ts
@@ -1,6 +1,6 @@
 /** One resolver for every setting: its flag, else its environment variable, else its default. */
 import { SettingsError } from '@verbenashunt/core';
-import type { ValidationIssue, Validator } from '@verbenashunt/schema';
+import { settingsSchema, type ValidationIssue, type Validator } from '@verbenashunt/schema';
 
 const envPrefix = 'VERBENASHUNT_';
 
@@ -48,7 +48,7 @@
 ): string {
   if (issue.keyword === 'required') {
     const name = String(issue.params.missingProperty);
-    return `${named(name)} is missing; it takes ${rangeOf(schema.properties[name]!)}`;
+    return `${named(name)} is missing (no value); it takes ${rangeOf(schema.properties[name]!)}`;
   }
   const name = issue.instancePath.slice(1);
   const property = schema.properties[name];
@@ -57,9 +57,17 @@
     : `${name} ${issue.message}`;
 }
 
+/** Variables of the operators' commands, which may stand in a daemon's environment. */
+const commandVariables = ['VERBENASHUNT_ENTRY', 'VERBENASHUNT_KEY'];
+
+/** One environment may serve both daemons of a VM, so a setting of either is known. */
+const daemonVariables = Object.values(settingsSchema.$defs)
+  .flatMap(({ properties }) => Object.keys(properties)).map(envOf);
+
 function checkUnknown(schema: SettingsSchema, env: NodeJS.ProcessEnv) {
   const known = new Set(Object.keys(schema.properties).map(envOf));
-  const unknown = Object.keys(env).find((key) => key.startsWith(envPrefix) && !known.has(key));
+  const allowed = new Set([...known, ...daemonVariables, ...commandVariables]);
+  const unknown = Object.keys(env).find((key) => key.startsWith(envPrefix) && !allowed.has(key));
   if (unknown) {
     throw new SettingsError(`environment variable ${unknown} (value "${env[unknown]}") is not a setting; known are ${[...known].join(', ')}`);
   }
--- a/packages/core/src/errors/errors.ts
+++ b/packages/core/src/errors/errors.ts
@@ -19,6 +19,9 @@
 /** The platform did not answer, or cannot serve. The effect of a write is unknown. */
 export const PlatformError = BaseError.subclass('PlatformError', withCode('platform_unavailable'));
 
+/** The platform refused a call over its rate; the call had no effect. */
+export const PlatformRateError = PlatformError.subclass('PlatformRateError', withCode('platform_rate_limited'));
+
 /** A conditional write found another version than it named; nothing was written. */
 export const ConflictError = BaseError.subclass('ConflictError', withCode('conflict'));
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -5,18 +5,21 @@
   chooseChain, createConfigHolder, SystemClock, type Clock,
 } from '@verbenashunt/core';
 import type { EntrySettings, Hello, Message } from '@verbenashunt/schema';
-import { createPlatformClient, protocolVersion, type Connection } from '@verbenashunt/wire';
+import {
+  createPlatformClient, drain, protocolVersion, type Connection,
+} from '@verbenashunt/wire';
 import { createConfigStore } from './config/store.js';
+import { createBodyReader } from './http/body.js';
 import { createCallerHandlers } from './http/callers.js';
 import { createOperatorHandlers } from './http/operators.js';
-import { serveEntryHttp } from './http/server.js';
+import { resolveHttpOptions } from './http/options.js';
+import { closeHttp, serveEntryHttp } from './http/server.js';
 import { createEntryMetrics } from './metrics.js';
 import { createAgentPeers, type AgentPeer } from './peers/agents.js';
 import { createGeneration } from './requests/generation.js';
 import { createRequestRegistry, type RequestRun } from './requests/registry.js';
 import { createServiceCall } from './requests/service-call.js';
 
-const drainPollMs = 20;
 const sameZoneLinkMs = 0.1;
 const otherZoneLinkMs = 0.25;
 const otherRegionLinkMs = 25;
@@ -28,8 +31,11 @@
 export interface Entry {
   readonly httpPort: number;
   readonly events: Emittery<EntryEvents>;
-  /** Takes no new requests, waits for those in flight, then closes. */
-  stop(): Promise<void>;
+  /**
+   * Takes no new requests, waits for those in flight, then closes. Resolves to whether all ran to
+   * their end; they are cut off at the drain timeout and when `hurry` aborts.
+   */
+  stop(hurry?: AbortSignal): Promise<boolean>;
 }
 
 export interface EntryDeps {
@@ -148,11 +154,15 @@
     return a && b && b.own < a.own ? b : a;
   }
 
-  const callers = createCallerHandlers({
+  const readBody = createBodyReader({ maxBufferedBytes: cfg.maxBufferedBytes ?? 67_108_864 });
+  const { interrupt, ...callers } = createCallerHandlers({
     clock,
     config,
     metrics,
+    readBody,
     maxBodyBytes: cfg.maxBodyBytes ?? 1_048_576,
+    maxPromptTokens: cfg.maxPromptTokens ?? 131_072,
+    maxStreamBacklogBytes: cfg.maxStreamBacklogBytes ?? 262_144,
     requestTimeoutMs,
     stopping: () => stopping,
     nextId() {
@@ -176,7 +186,7 @@
   const operators = createOperatorHandlers({
     config,
     store,
-    maxBodyBytes: cfg.maxBodyBytes ?? 1_048_576,
+    readBody,
     bootstrapOperatorHash: cfg.bootstrapOperatorHash,
     wall: () => clock.wall(),
     committed: (record) => config.offer(record),
@@ -189,7 +199,7 @@
   });
 
   await Promise.all([pollVms(), pollHead()]);
-  const http = await serveEntryHttp(cfg.host ?? '127.0.0.1', cfg.httpPort, cfg.maxConnections ?? 10_000, {
+  const http = await serveEntryHttp(resolveHttpOptions(cfg, () => stopping), {
     health: {
       ready: () => config.view !== undefined && !stopping,
       metrics() {
@@ -202,26 +212,26 @@
   });
   log.info({ node: cfg.node, incarnation, httpPort: http.port }, 'entry started');
 
-  async function drained(deadline: number): Promise<void> {
-    if (registry.size === 0 || clock.now() >= deadline) return undefined;
-    await new Promise<void>((resolve) => {
-      clock.after(drainPollMs, resolve);
-    });
-    return drained(deadline);
-  }
-
   return {
     httpPort: http.port,
     events,
-    async stop() {
+    async stop(hurry) {
       stopping = true;
       log.info('draining');
-      await drained(clock.now() + (cfg.drainTimeoutMs ?? 120_000));
+      const whole = await drain({
+        clock,
+        noticeMs: cfg.stopNoticeMs ?? 1000,
+        timeoutMs: cfg.drainTimeoutMs ?? 120_000,
+        hurry,
+        idle: () => registry.size === 0 && http.active === 0,
+      });
+      if (!whole) interrupt();
       cancelVmPoll();
       cancelHeadPoll();
       peers.close();
-      await Promise.all([http.close(), platform.close()]);
-      log.info('stopped');
+      await Promise.all([closeHttp(http, clock, whole), platform.close()]);
+      log.info({ whole }, 'stopped');
+      return whole;
     },
   };
 }
--- a/packages/entry/src/http/callers.ts
+++ b/packages/entry/src/http/callers.ts
@@ -1,18 +1,19 @@
 /** The callers' API of an entry: chat, models and plain services. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
-  createRefusal, isRepeatable, sha256, type Clock, type ConfigHolder, type ConfigView,
+  createRefusal, isRepeatable, sha256, type Clock, type ConfigHolder, type ConfigView, type Refusal,
 } from '@verbenashunt/core';
-import type { Call, OrganisationDecl } from '@verbenashunt/schema';
+import type { OrganisationDecl } from '@verbenashunt/schema';
 import type { EntryMetrics, RequestLabels } from '../metrics.js';
 import type { GenerationSink, GenerationSpec } from '../requests/generation.js';
 import type { RequestRun } from '../requests/registry.js';
 import type { ServiceCallSink, ServiceCallSpec } from '../requests/service-call.js';
 import { sendJson, sendRefusal } from './answers.js';
-import { readBody } from './body.js';
+import type { BodyReader } from './body.js';
 import {
   bearerOf, createChatSink, parseChat, promptOf,
 } from './chat.js';
+import { headersOf, methodOf, targetOf } from './forward.js';
 
 const defaultMaxTokens = 256;
 const chatPriority = 5;
@@ -22,7 +23,10 @@
   clock: Clock;
   config: ConfigHolder;
   metrics: EntryMetrics;
+  readBody: BodyReader;
   maxBodyBytes: number;
+  maxPromptTokens: number;
+  maxStreamBacklogBytes: number;
   requestTimeoutMs: number;
   stopping(): boolean;
   nextId(): string;
@@ -35,12 +39,13 @@
   org: OrganisationDecl;
 }
 
-const textHeaders = (req: IncomingMessage) => Object.fromEntries(
-  Object.entries(req.headers).map(([name, value]) => [name, Array.isArray(value) ? value.join(', ') : String(value)]),
-);
-
 export function createCallerHandlers(deps: CallerDeps) {
-  const { clock, metrics } = deps;
+  const { clock, metrics, readBody } = deps;
+  const streamBounds = {
+    maxBacklogBytes: deps.maxStreamBacklogBytes, onSlowReader: metrics.slowReader,
+  };
+  /** Refuses what is still open, for a stop that waits no longer. */
+  const open = new Set<() => void>();
 
   function admit(req: IncomingMessage): Admitted {
     const { view } = deps.config;
@@ -78,7 +83,24 @@
     };
   }
 
+  /** Ends the run with its connection, and keeps the way to refuse it at a hurried stop. */
+  function own(res: ServerResponse, run: RequestRun, refuse: () => void) {
+    const abort = () => {
+      if (res.writableEnded) return;
+      run.cancel();
+      refuse();
+    };
+    open.add(abort);
+    res.once('close', () => {
+      open.delete(abort);
+      run.cancel();
+    });
+  }
+
   return {
+    /** Refuses all that is in flight; what became of it is not known. */
+    interrupt: () => [...open].forEach((abort) => abort()),
+
     async chat(req: IncomingMessage, res: ServerResponse) {
       const admitted = admit(req);
       const chat = parseChat(await readBody(req, deps.maxBodyBytes));
@@ -87,11 +109,15 @@
       checkFleet(admitted, found.fleet);
       const id = deps.nextId();
       const prompt = promptOf(chat);
+      if (prompt.length > deps.maxPromptTokens) {
+        throw createRefusal('bad_request', { detail: `the prompt has more than ${deps.maxPromptTokens} tokens` });
+      }
       const createdSeconds = Math.floor(clock.wall() / millisecondsPerSecond);
       const sink = createChatSink(res, {
         id, model: chat.model, createdSeconds, promptTokens: prompt.length,
-      }, chat.stream ?? false);
+      }, chat.stream ?? false, streamBounds);
       const labels = { org: admitted.org.name, cls: 'chat' };
+      const caller = measured(sink, labels);
       const run = deps.generate({
         req: id,
         ...labels,
@@ -102,8 +128,8 @@
         maxTokens: chat.max_tokens ?? defaultMaxTokens,
         priority: chatPriority,
         deadline: clock.now() + deps.requestTimeoutMs,
-      }, measured(sink, labels));
-      res.on('close', run.cancel);
+      }, caller);
+      own(res, run, () => caller.refuse(createRefusal('interrupted')));
     },
 
     async models(req: IncomingMessage, res: ServerResponse) {
@@ -117,8 +143,8 @@
 
     async service(req: IncomingMessage, res: ServerResponse) {
       const admitted = admit(req);
-      const method = req.method as Call['method'];
-      const url = new URL(req.url ?? '/', 'http://entry');
+      const method = methodOf(req);
+      const url = targetOf(req);
       const match = admitted.view.routeOf(method, url.pathname);
       if (!match) throw createRefusal('not_found', { detail: `${method} ${url.pathname}` });
       checkFleet(admitted, match.fleet);
@@ -128,12 +154,16 @@
       const labels = { org: admitted.org.name, cls: match.route.cls ?? 'service' };
       const finish = (outcome: string) => metrics
         .outcome(labels, outcome, (clock.now() - startedAt) / millisecondsPerSecond);
+      const refuse = (refusal: Refusal) => {
+        finish(refusal.code);
+        sendRefusal(res, refusal, id);
+      };
       const run = deps.call({
         req: id,
         ...labels,
         method,
         path: url.pathname + url.search,
-        headers: textHeaders(req),
+        headers: headersOf(req),
         body: body.toString('base64'),
         repeatable: isRepeatable(match.route, method),
         deadline: startedAt + (match.route.timeoutMs ?? deps.requestTimeoutMs),
@@ -143,12 +173,9 @@
           res.writeHead(result.status, result.headers);
           res.end(Buffer.from(result.body, 'base64'));
         },
-        refuse(refusal) {
-          finish(refusal.code);
-          sendRefusal(res, refusal, id);
-        },
+        refuse,
       });
-      res.on('close', run.cancel);
+      own(res, run, () => refuse(createRefusal('outcome_unknown')));
     },
   };
 }
--- a/packages/entry/src/http/chat.ts
+++ b/packages/entry/src/http/chat.ts
@@ -5,6 +5,7 @@
 import type { GenerationSink } from '../requests/generation.js';
 import { refusalBody, sendJson, sendRefusal } from './answers.js';
 import { parseJson } from './body.js';
+import { createStreamWriter } from './stream.js';
 
 const tokenizer = new ByteTokenizer();
 
@@ -28,7 +29,19 @@
   promptTokens: number;
 }
 
-function streamedSink(res: ServerResponse, answer: ChatAnswer): GenerationSink {
+export interface StreamBounds {
+  /** Bytes of an answer that its caller may leave unread. */
+  maxBacklogBytes: number;
+  /** The answer was cut off for that. */
+  onSlowReader(): void;
+}
+
+function streamedSink(
+  res: ServerResponse,
+  answer: ChatAnswer,
+  bounds: StreamBounds,
+): GenerationSink {
+  const writer = createStreamWriter(res, bounds.maxBacklogBytes, bounds.onSlowReader);
   const decode = tokenizer.createDecoder();
   const head = JSON.stringify({
     id: answer.id, object: 'chat.completion.chunk', created: answer.createdSeconds, model: answer.model,
@@ -41,15 +54,15 @@
   return {
     token(token) {
       open();
-      res.write(chunk(`{"content":${JSON.stringify(decode(token))}}`, 'null'));
+      writer.write(chunk(`{"content":${JSON.stringify(decode(token))}}`, 'null'));
     },
     end(reason) {
       open();
-      res.end(`${chunk('{}', `"${reason}"`)}data: [DONE]\n\n`);
+      writer.end(`${chunk('{}', `"${reason}"`)}data: [DONE]\n\n`);
     },
     refuse(refusal) {
       // After the first token the status line is gone; the error event takes its place.
-      if (res.headersSent) res.end(`event: error\ndata: ${JSON.stringify(refusalBody(refusal, answer.id))}\n\n`);
+      if (res.headersSent) writer.end(`event: error\ndata: ${JSON.stringify(refusalBody(refusal, answer.id))}\n\n`);
       else sendRefusal(res, refusal, answer.id);
     },
   };
@@ -87,7 +100,8 @@
   res: ServerResponse,
   answer: ChatAnswer,
   stream: boolean,
-): GenerationSink => (stream ? streamedSink(res, answer) : wholeSink(res, answer));
+  bounds: StreamBounds,
+): GenerationSink => (stream ? streamedSink(res, answer, bounds) : wholeSink(res, answer));
 
 /** Bearer key of a request; refuses one without. */
 export function bearerOf(req: IncomingMessage): string {
--- a/packages/entry/src/http/operators.ts
+++ b/packages/entry/src/http/operators.ts
@@ -6,13 +6,13 @@
 import { validators } from '@verbenashunt/schema';
 import type { ConfigStore } from '../config/store.js';
 import { sendJson } from './answers.js';
-import { parseJson, readBody } from './body.js';
+import { parseJson, type BodyReader } from './body.js';
 import { bearerOf } from './chat.js';
 
 export interface OperatorDeps {
   config: ConfigHolder;
   store: ConfigStore;
-  maxBodyBytes: number;
+  readBody: BodyReader;
   bootstrapOperatorHash: string | undefined;
   wall(): number;
   /** A record was committed and is to be spread. */
@@ -36,8 +36,8 @@
   return {
     async apply(req: IncomingMessage, res: ServerResponse) {
       const operator = operatorOf(req);
-      const body = parseJson(await readBody(req, maxDeclarationBytes)) as Record<string, unknown>;
-      const { declarations, baseRevision, commandId } = body;
+      const body = parseJson(await deps.readBody(req, maxDeclarationBytes));
+      const { declarations, baseRevision, commandId } = body as Record<string, unknown>;
       if (!validators.declarations(declarations)) {
         const issue = validators.declarations.errors?.[0];
         throw createRefusal('bad_request', { detail: `${issue?.instancePath} ${issue?.message}` });
--- /dev/null
+++ b/packages/entry/src/http/options.ts
@@ -0,0 +1,18 @@
+/** The bounds of the HTTP service out of the settings. */
+import type { EntrySettings } from '@verbenashunt/schema';
+import type { EntryHttpOptions } from './server.js';
+
+export const resolveHttpOptions = (
+  cfg: EntrySettings,
+  stopping: () => boolean,
+): EntryHttpOptions => ({
+  host: cfg.host ?? '127.0.0.1',
+  port: cfg.httpPort,
+  maxConnections: cfg.maxConnections ?? 10_000,
+  maxHeaderBytes: cfg.maxHeaderBytes ?? 16_384,
+  headerTimeoutMs: cfg.headerTimeoutMs ?? 10_000,
+  bodyTimeoutMs: cfg.bodyTimeoutMs ?? 30_000,
+  keepAliveTimeoutMs: cfg.keepAliveTimeoutMs ?? 65_000,
+  streamStallTimeoutMs: cfg.streamStallTimeoutMs ?? 30_000,
+  stopping,
+});
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -2,8 +2,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import restana from 'restana';
+import { createRefusal, type Clock } from '@verbenashunt/core';
 import { addHealthRoutes, type HealthSource } from '@verbenashunt/wire';
 import { sendRefusal, toRefusal } from './answers.js';
+import { createHttpListener, type HttpBounds } from './listener.js';
 
 export type HttpHandler = (req: IncomingMessage, res: ServerResponse) => Promise<void>;
 
@@ -17,36 +19,74 @@
   service: HttpHandler;
 }
 
+export interface EntryHttpOptions extends HttpBounds {
+  host: string;
+  port: number;
+  /** Connections are closed after the answer in progress. */
+  stopping(): boolean;
+}
+
 export interface EntryHttp {
   readonly port: number;
-  close(): Promise<unknown>;
+  /** Answers that have not wholly left. */
+  readonly active: number;
+  /** Stops listening and closes idle connections; resolves when all are closed. */
+  close(): Promise<void>;
+  /** Closes what is left, whatever it is doing. */
+  destroy(): void;
+}
+
+/** Time for the last answers to leave before their connections are cut. */
+const lastAnswersMs = 1000;
+
+/** Closes the service; after a whole drain nothing is left but idle connections. */
+export async function closeHttp(http: EntryHttp, clock: Clock, whole: boolean) {
+  const cancel = clock.after(whole ? 0 : lastAnswersMs, http.destroy);
+  await http.close();
+  cancel();
 }
 
-const guarded = (handler: HttpHandler): HttpHandler => async (req, res) => {
-  try {
-    await handler(req, res);
-  } catch (err) {
-    if (!res.headersSent) sendRefusal(res, toRefusal(err));
-    else res.destroy();
-  }
-};
+const isBodyUnread = ({ headers, complete }: IncomingMessage) => !complete
+  && ('content-length' in headers || 'transfer-encoding' in headers);
 
 export async function serveEntryHttp(
-  host: string,
-  port: number,
-  maxConnections: number,
+  options: EntryHttpOptions,
   routes: EntryHttpRoutes,
 ): Promise<EntryHttp> {
-  const app = restana({ defaultRoute: guarded(routes.service) });
+  const listener = createHttpListener(options);
+  const { server } = listener;
+
+  const guarded = (handler: HttpHandler): HttpHandler => async (req, res) => {
+    if (options.stopping()) res.shouldKeepAlive = false;
+    try {
+      if (listener.isRefused(req)) throw createRefusal('too_many_connections');
+      await handler(req, res);
+    } catch (err) {
+      // The rest of a body that nobody reads must not be taken for the next request.
+      if (isBodyUnread(req) || listener.isRefused(req)) res.shouldKeepAlive = false;
+      if (!res.headersSent) sendRefusal(res, toRefusal(err));
+      else res.destroy();
+    }
+  };
+
+  const app = restana({
+    server, defaultRoute: guarded(routes.service), prioRequestsProcessing: false,
+  });
   addHealthRoutes(app, routes.health);
   app.post('/v1/chat/completions', guarded(routes.chat));
   app.get('/v1/models', guarded(routes.models));
   app.post('/operator/v1/apply', guarded(routes.apply));
   app.get('/operator/v1/state', guarded(routes.query));
-  const server = await app.start(port, host);
-  server.maxConnections = maxConnections;
+  await app.start(options.port, options.host);
   return {
     port: (server.address() as AddressInfo).port,
-    close: () => app.close(),
+    get active() {
+      return listener.active;
+    },
+    close: () => new Promise((resolve) => {
+      server.close(() => resolve());
+      server.closeIdleConnections();
+    }),
+    destroy: () => server.closeAllConnections(),
   };
 }
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -22,6 +22,8 @@
   agents(value: number): void;
   revision(value: number): void;
   protocolErrors(): void;
+  /** An answer was cut off because its caller did not read it. */
+  slowReader(): void;
 }
 
 export function createEntryMetrics(): EntryMetrics {
@@ -48,6 +50,10 @@
     name: 'verbenashunt_protocol_errors_total', help: 'Connections closed for bytes that are no message.', registers,
   });
 
+  const slowReaders = new Counter({
+    name: 'verbenashunt_slow_readers_total', help: 'Answers cut off because their caller did not read them.', registers,
+  });
+
   function labelsOf({ org, cls }: RequestLabels) {
     if (known.size < maxOrganisations) known.add(org);
     return { organisation: known.has(org) ? org : 'other', class: cls };
@@ -65,5 +71,6 @@
     agents: (value) => agents.set(value),
     revision: (value) => revision.set(value),
     protocolErrors: () => errors.inc(),
+    slowReader: () => slowReaders.inc(),
   };
 }
--- a/packages/wire/src/health.ts
+++ b/packages/wire/src/health.ts
@@ -14,15 +14,25 @@
 
 interface HealthApp {
   get(path: string, handler: (req: unknown, res: HealthRes) => unknown): unknown;
+  head(path: string, handler: (req: unknown, res: HealthRes) => unknown): unknown;
 }
 
 /** Adds the endpoints to a restana service. */
 export function addHealthRoutes(app: HealthApp, source: HealthSource) {
-  app.get('/healthz', (_, res) => res.end('ok\n'));
-  app.get('/readyz', (_, res) => {
-    res.statusCode = source.ready() ? 200 : 503;
-    res.end(source.ready() ? 'ready\n' : 'not ready\n');
-  });
+  const healthy = (_: unknown, res: HealthRes) => {
+    res.setHeader('cache-control', 'no-store');
+    res.end('ok\n');
+  };
+  const ready = (_: unknown, res: HealthRes) => {
+    const isReady = source.ready();
+    res.statusCode = isReady ? 200 : 503;
+    res.setHeader('cache-control', 'no-store');
+    res.end(isReady ? 'ready\n' : 'not ready\n');
+  };
+  app.get('/healthz', healthy);
+  app.head('/healthz', healthy);
+  app.get('/readyz', ready);
+  app.head('/readyz', ready);
   app.get('/metrics', async (_, res) => {
     res.setHeader('content-type', 'text/plain; version=0.0.4');
     res.end(await source.metrics());
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -5,3 +5,5 @@
 export * from './listen.js';
 export * from './platform.js';
 export * from './health.js';
+export * from './tls.js';
+export * from './drain.js';
