--- a/packages/agent/src/targets/engine-target.ts
+++ b/packages/agent/src/targets/engine-target.ts
@@ -24,6 +24,15 @@
   close(): Promise<void>;
 }
 
+/** A line of the engine's stream; undefined when it is not JSON. */
+function parseLine(line: string): unknown {
+  try {
+    return JSON.parse(line);
+  } catch {
+    return undefined;
+  }
+}
+
 /** Keeps a stream to the engine open and reports its state until closed. */
 export function createEngineTarget(
   url: string,
@@ -53,7 +62,7 @@
   }
 
   function receive(line: string) {
-    const out: unknown = JSON.parse(line);
+    const out = parseLine(line);
     if (validators.engineOut(out)) handlers.onOutput(out);
     else down(new TargetError('the engine sent an output that does not match its schema'));
   }
@@ -70,6 +79,8 @@
       if (ops === input) down(new TargetError('the engine closed its stream'));
     };
     body.on('error', lost);
+    // The reader passes on the errors of its input.
+    lines.on('error', lost);
     lines.on('close', lost);
   }
 
--- a/packages/cli/src/declarations/load.ts
+++ b/packages/cli/src/declarations/load.ts
@@ -45,7 +45,10 @@
 
 /** Loads a directory; throws DeclarationError for the first fault found. */
 export async function loadDeclarations(directory: string): Promise<Declarations> {
-  const names = (await readdir(directory)).filter((n) => /\.ya?ml$/.test(n)).sort();
+  const found = await readdir(directory).catch((err: Error) => {
+    throw new DeclarationError(`${directory}: cannot be read: ${err.message}`);
+  });
+  const names = found.filter((n) => /\.ya?ml$/.test(n)).sort();
   if (names.length === 0) throw new DeclarationError(`${directory}: no YAML files`);
   const files = await Promise.all(names.map((name) => loadFile(directory, name)));
   const parts = files.map(checkFile);
--- a/packages/cli/src/settings/resolve.ts
+++ b/packages/cli/src/settings/resolve.ts
@@ -3,6 +3,7 @@
 import { settingsSchema, type ValidationIssue, type Validator } from '@verbenashunt/schema';
 
 const envPrefix = 'VERBENASHUNT_';
+const decimal = /^-?\d+(\.\d+)?$/;
 
 /** What the resolver reads of a setting's schema. */
 export interface SettingSchema {
@@ -36,7 +37,7 @@
 const named = (name: string) => `${flagOf(name)} (${envOf(name)})`;
 
 function parse(schema: SettingSchema, text: string): unknown {
-  if (schema.type === 'integer' || schema.type === 'number') return text.trim() === '' ? text : Number(text);
+  if (schema.type === 'integer' || schema.type === 'number') return decimal.test(text) ? Number(text) : text;
   if (schema.type === 'boolean') return { true: true, false: false }[text] ?? text;
   return text;
 }
