Detect silent peers and resume on a second connection

Cause: a connection that swallows data without a reset was never noticed, and a reset counted as the death of the peer with all that it held.

Change: one ticker per process pings silent connections. The time-out follows the round trips (Jacobson/Karels, RFC 6298); time in which this process itself did not run is taken off first. Silence opens a second connection: the same incarnation there resumes the link (onResumed), a refusal, another node or another incarnation loses it (onLost). Links between agents do the same; until the stage table can resume a hop, agent.ts treats a resumed hop as lost.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -2,25 +2,24 @@
 import Emittery from 'emittery';
 import type { Logger } from 'pino';
 import {
-  createConfigHolder, ProtocolError, SystemClock, type Clock,
+  createConfigHolder, SystemClock, type Clock,
 } from '@verbenashunt/core';
 import type {
   AgentSettings, Hello, LoadedModel, Message, TargetState,
 } from '@verbenashunt/schema';
 import {
-  createPlatformClient, listenForPeers, protocolVersion, type Connection,
+  createHeartbeats, createPeerMetrics, createPlatformClient, listenForPeers, protocolVersion,
 } from '@verbenashunt/wire';
 import { createCallTable } from './calls/call-table.js';
 import { serveAgentHttp } from './http/server.js';
 import { takeIncarnation } from './incarnation.js';
 import { createAgentMetrics } from './metrics.js';
+import { createEntryPeers } from './peers/entries.js';
 import { createLinks } from './peers/links.js';
 import { createStageTable } from './stages/stage-table.js';
 import { createEngineTarget, type EngineHandlers } from './targets/engine-target.js';
 import { createServiceTarget } from './targets/service-target.js';
 
-/** Time that an entry's work is kept after its connection was lost, in milliseconds. */
-const entryGraceMs = 3000;
 const drainPollMs = 20;
 
 export interface AgentEvents {
@@ -57,7 +56,8 @@
   let accelerator: TargetState['accelerator'];
   let serving = cfg.targetKind === 'service';
   let draining = false;
-  const entries = new Map<string, Connection>();
+  const peerMetrics = createPeerMetrics(metrics.registry);
+  const heartbeats = createHeartbeats({ clock, onStall: peerMetrics.stalled });
 
   const config = createConfigHolder((view) => {
     metrics.revision(view.revision);
@@ -104,7 +104,10 @@
     revision: config.revision,
     state: state(),
   });
-  const tellEntries = () => entries.forEach((entry) => entry.send({ t: 'state', state: state() }));
+  const entries = createEntryPeers({
+    clock, onLost: stages.entryLost, onProtocolError: metrics.protocolErrors,
+  });
+  const tellEntries = () => entries.broadcast({ t: 'state', state: state() });
 
   function setServing(value: boolean) {
     if (serving === value) return;
@@ -167,32 +170,21 @@
     clock,
     random,
     hello,
+    heartbeats,
+    count: peerMetrics.link,
     onMessage: (message) => receive(message, () => {}),
     onLost: stages.hopLost,
+    onResumed: stages.hopLost,
   });
 
-  /** Sends to the entry's newest connection, so that answers survive a reconnect. */
-  const replyTo = (connection: Connection) => (message: Message) => {
-    (entries.get(connection.peer.node) ?? connection).send(message);
-  };
-
   const listener = await listenForPeers(cfg.host ?? '127.0.0.1', cfg.peerPort, hello, {
-    onOpen(connection) {
-      if (connection.peer.role === 'entry') entries.set(connection.peer.node, connection);
-    },
-    onMessage(connection, message) {
-      receive(message, replyTo(connection));
-    },
+    onOpen: entries.opened,
+    onMessage: (connection, message) => receive(message, entries.replyTo(connection)),
     onClose(connection, err) {
-      if (err instanceof ProtocolError) metrics.protocolErrors();
-      const { peer } = connection;
-      if (!peer || entries.get(peer.node) !== connection) return;
-      entries.delete(peer.node);
-      clock.after(entryGraceMs, () => {
-        if (!entries.has(peer.node)) stages.entryLost(peer.node);
-      });
+      peerMetrics.closed(err);
+      entries.closed(connection, err);
     },
-  });
+  }, { clock, heartbeats });
   const http = await serveAgentHttp(cfg.host ?? '127.0.0.1', cfg.httpPort, {
     ready: () => serving && !draining,
     metrics() {
@@ -222,6 +214,7 @@
       await drained(clock.now() + (cfg.drainTimeoutMs ?? 120_000));
       listener.close();
       links.close();
+      heartbeats.close();
       await Promise.all([engine?.close(), service.close(), platform.close(), http.close()]);
       log.info('stopped');
     },
--- a/packages/agent/src/peers/links.ts
+++ b/packages/agent/src/peers/links.ts
@@ -1,17 +1,25 @@
 /** Connections from this agent to the next stages of its chains. */
-import { createDialer, type Dialer } from '@verbenashunt/wire';
+import {
+  createDialer, type Dialer, type Heartbeats, type LinkEvent,
+} from '@verbenashunt/wire';
 import type { Clock } from '@verbenashunt/core';
 import type { Hello, Hop, Message } from '@verbenashunt/schema';
 
 /** Messages held for a hop whose connection is not open yet. */
 const maxWaiting = 1000;
 
+/** Time without a message after which a link is closed, in milliseconds. */
+const maxUnusedMs = 60_000;
+
 interface Link {
-  dialer: Dialer;
+  node: string;
+  dialer?: Dialer;
   waiting: Message[];
+  usedAt: number;
 }
 
 export interface Links {
+  readonly size: number;
   /** Sends to a hop, dialling it first when needed. */
   send(hop: Hop, message: Message): void;
   close(): void;
@@ -21,45 +29,88 @@
   clock: Clock;
   random: () => number;
   hello: () => Hello;
+  heartbeats: Heartbeats;
+  count(event: LinkEvent, err?: Error): void;
   onMessage(message: Message): void;
-  /** A connection broke, or a hop could not take more; what was on the way may be lost. */
+  /** The hop is gone with what it held, or could not take more. */
   onLost(node: string): void;
+  /** A new connection to the same incarnation; what was on the way may be lost. */
+  onResumed(node: string): void;
 }
 
 export function createLinks(options: LinkOptions): Links {
+  const { clock } = options;
   const links = new Map<string, Link>();
 
-  function open({ node, host, port }: Hop): Link {
-    const link: Link = { waiting: [] } as unknown as Link;
+  function lost(link: Link) {
+    Object.assign(link, { waiting: [] });
+    options.onLost(link.node);
+  }
+
+  function flush(link: Link) {
+    const { waiting } = link;
+    Object.assign(link, { waiting: [] });
+    waiting.forEach((message) => link.dialer?.connection?.send(message));
+  }
+
+  function open(key: string, { node, host, port }: Hop): Link {
+    const link: Link = { node, waiting: [], usedAt: clock.now() };
     link.dialer = createDialer({
+      node,
       host,
       port,
-      clock: options.clock,
+      clock,
       random: options.random,
       hello: options.hello,
+      heartbeats: options.heartbeats,
+      count(event, err) {
+        options.count(event, err);
+        if (event === 'refused' && link.waiting.length > 0) lost(link);
+      },
       handlers: {
-        onOpen(connection) {
-          link.waiting.forEach((message) => connection.send(message));
-          link.waiting = [];
+        onOpen: () => flush(link),
+        onResumed() {
+          options.onResumed(node);
+          flush(link);
         },
         onMessage: (_, message) => options.onMessage(message),
-        onClose: () => options.onLost(node),
+        onClose: () => lost(link),
       },
     });
-    links.set(`${host}:${port}`, link);
+    links.set(key, link);
     return link;
   }
 
+  function closeUnused() {
+    const before = clock.now() - maxUnusedMs;
+    [...links].filter(([, { usedAt }]) => usedAt < before).forEach(([key, { dialer }]) => {
+      links.delete(key);
+      dialer?.close();
+    });
+  }
+
+  let cancelSweep = clock.after(maxUnusedMs, function sweep() {
+    closeUnused();
+    cancelSweep = clock.after(maxUnusedMs, sweep);
+  });
+
   return {
+    get size() {
+      return links.size;
+    },
     send(hop, message) {
-      const link = links.get(`${hop.host}:${hop.port}`) ?? open(hop);
-      const { connection } = link.dialer;
-      if (connection) connection.send(message);
+      const key = `${hop.node}@${hop.host}:${hop.port}`;
+      const link = links.get(key) ?? open(key, hop);
+      link.usedAt = clock.now();
+      const connection = link.dialer?.connection;
+      if (connection && connection.peer.incarnation !== hop.incarnation) options.onLost(hop.node);
+      else if (connection) connection.send(message);
       else if (link.waiting.length < maxWaiting) link.waiting.push(message);
-      else options.onLost(hop.node);
+      else lost(link);
     },
     close() {
-      links.forEach(({ dialer }) => dialer.close());
+      cancelSweep();
+      links.forEach(({ dialer }) => dialer?.close());
     },
   };
 }
--- a/packages/core/src/errors/errors.ts
+++ b/packages/core/src/errors/errors.ts
@@ -16,6 +16,9 @@
 /** A peer sent bytes that are not a message of the protocol. */
 export const ProtocolError = BaseError.subclass('ProtocolError', withCode('bad_frame'));
 
+/** A connection ended for a reason of its peer: silent, too slow, or not who it should be. */
+export const PeerError = BaseError.subclass('PeerError', withCode('peer_lost'));
+
 /** The platform did not answer, or cannot serve. The effect of a write is unknown. */
 export const PlatformError = BaseError.subclass('PlatformError', withCode('platform_unavailable'));
 
@@ -60,3 +63,6 @@
     },
   });
 }
+
+/** The code of an error of this system or of Node.js; `internal` where it has none. */
+export const errorCode = (err: Error): string => ('code' in err ? String(err.code) : 'internal');
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,3 +7,5 @@
 export * from './config/view.js';
 export * from './config/holder.js';
 export * from './tokens/tokenizer.js';
+export * from './membership/detector.js';
+export * from './membership/stall.js';
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -5,7 +5,9 @@
   chooseChain, createConfigHolder, SystemClock, type Clock,
 } from '@verbenashunt/core';
 import type { EntrySettings, Hello, Message } from '@verbenashunt/schema';
-import { createPlatformClient, protocolVersion, type Connection } from '@verbenashunt/wire';
+import {
+  createHeartbeats, createPeerMetrics, createPlatformClient, protocolVersion, type Connection,
+} from '@verbenashunt/wire';
 import { createConfigStore } from './config/store.js';
 import { createCallerHandlers } from './http/callers.js';
 import { createOperatorHandlers } from './http/operators.js';
@@ -87,10 +89,14 @@
     else registry.receive(node, message);
   }
 
+  const peerMetrics = createPeerMetrics(metrics.registry);
+  const heartbeats = createHeartbeats({ clock, onStall: peerMetrics.stalled });
   const peers = createAgentPeers({
     clock,
     random,
     hello,
+    heartbeats,
+    count: peerMetrics.link,
     onMessage: receive,
     onOpen: levelConfig,
     onLost: registry.lost,
@@ -220,6 +226,7 @@
       cancelVmPoll();
       cancelHeadPoll();
       peers.close();
+      heartbeats.close();
       await Promise.all([http.close(), platform.close()]);
       log.info('stopped');
     },
--- a/packages/entry/src/peers/agents.ts
+++ b/packages/entry/src/peers/agents.ts
@@ -1,10 +1,12 @@
 /** The agents of this entry: candidates by the platform's list, serving by their own word. */
 import Emittery from 'emittery';
-import type { Clock, StageCandidate } from '@verbenashunt/core';
+import { ProtocolError, type Clock, type StageCandidate } from '@verbenashunt/core';
 import type {
   Hello, Message, Vm, TargetState,
 } from '@verbenashunt/schema';
-import { createDialer, type Connection, type Dialer } from '@verbenashunt/wire';
+import {
+  createDialer, type Connection, type Dialer, type Heartbeats, type LinkEvent,
+} from '@verbenashunt/wire';
 
 export interface AgentPeer {
   node: string;
@@ -40,6 +42,8 @@
   clock: Clock;
   random: () => number;
   hello: () => Hello;
+  heartbeats: Heartbeats;
+  count(event: LinkEvent, err?: Error): void;
   onMessage(node: string, message: Message): void;
   onOpen(connection: Connection): void;
   /** The agent is gone, with what it held. */
@@ -58,10 +62,12 @@
   const events = new Emittery<AgentPeersEvents>();
   const tracked = new Map<string, Tracked>();
 
+  const noState = () => new ProtocolError('an agent said no state', { props: { code: 'bad_message' } });
+
   function opened(entry: Tracked, connection: Connection) {
     const { peer } = connection;
     if (!peer.state) {
-      connection.close();
+      connection.close(noState());
       return;
     }
     const { vm } = entry;
@@ -82,6 +88,18 @@
     events.emit('up', vm.id);
   }
 
+  function resumed(entry: Tracked, connection: Connection) {
+    const { peer } = entry;
+    const { state } = connection.peer;
+    if (!peer || !state) {
+      connection.close(noState());
+      return;
+    }
+    Object.assign(peer, { state, send: connection.send });
+    deps.onOpen(connection);
+    deps.onResumed(peer.node);
+  }
+
   function received(entry: Tracked, message: Message) {
     const { peer } = entry;
     if (!peer) return;
@@ -100,13 +118,18 @@
   function track(vm: Vm) {
     const entry = { vm } as Tracked;
     entry.dialer = createDialer({
+      node: vm.id,
       host: vm.host,
       port: vm.port,
       clock: deps.clock,
       random: deps.random,
       hello: deps.hello,
+      heartbeats: deps.heartbeats,
+      ping: (n) => ({ t: 'ping', n, revision: deps.hello().revision }),
+      count: deps.count,
       handlers: {
         onOpen: (connection) => opened(entry, connection),
+        onResumed: (connection) => resumed(entry, connection),
         onMessage: (_, message) => received(entry, message),
         onClose: () => lost(entry),
       },
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,7 +1,9 @@
 /** Framing and connections between the system's processes, and the platform client. */
 export * from './framing.js';
 export * from './connection.js';
+export * from './heartbeat.js';
 export * from './dial.js';
 export * from './listen.js';
+export * from './metrics.js';
 export * from './platform.js';
 export * from './health.js';
