--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -8,7 +8,7 @@
   AgentSettings, Hello, LoadedModel, Message, TargetState,
 } from '@verbenashunt/schema';
 import {
-  createHeartbeats, createPeerMetrics, createPlatformClient, listenForPeers, protocolVersion,
+  createHeartbeats, createPeerMetrics, createPlatformClient, drain, listenForPeers, protocolVersion,
 } from '@verbenashunt/wire';
 import { createCallTable } from './calls/call-table.js';
 import { serveAgentHttp } from './http/server.js';
@@ -20,8 +20,6 @@
 import { createEngineTarget, type EngineHandlers } from './targets/engine-target.js';
 import { createServiceTarget } from './targets/service-target.js';
 
-const drainPollMs = 20;
-
 export interface AgentEvents {
   serving: boolean;
   draining: undefined;
@@ -32,8 +30,11 @@
   readonly peerPort: number;
   readonly httpPort: number;
   readonly events: Emittery<AgentEvents>;
-  /** Takes no new work, waits for what is in flight, then closes. */
-  stop(): Promise<void>;
+  /**
+   * Takes no new work, waits for what is in flight, then closes. Resolves to whether all ran to
+   * its end; it is cut off at the drain timeout and when `hurry` aborts.
+   */
+  stop(hurry?: AbortSignal): Promise<boolean>;
 }
 
 /** Sends an answer to the peer that a message came from. */
@@ -194,29 +195,28 @@
   });
   log.info({ node: cfg.node, incarnation, peerPort: listener.port }, 'agent started');
 
-  async function drained(deadline: number): Promise<void> {
-    if (stages.active + calls.active === 0 || clock.now() >= deadline) return undefined;
-    await new Promise<void>((resolve) => {
-      clock.after(drainPollMs, resolve);
-    });
-    return drained(deadline);
-  }
-
   return {
     peerPort: listener.port,
     httpPort: http.port,
     events,
-    async stop() {
+    async stop(hurry) {
       draining = true;
       tellEntries();
       log.info('draining');
       await events.emit('draining');
-      await drained(clock.now() + (cfg.drainTimeoutMs ?? 120_000));
+      const whole = await drain({
+        clock,
+        noticeMs: 0,
+        timeoutMs: cfg.drainTimeoutMs ?? 120_000,
+        hurry,
+        idle: () => stages.active + calls.active === 0,
+      });
       listener.close();
       links.close();
       heartbeats.close();
       await Promise.all([engine?.close(), service.close(), platform.close(), http.close()]);
-      log.info('stopped');
+      log.info({ whole }, 'stopped');
+      return whole;
     },
   };
 }
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -7,3 +7,5 @@
 export * from './metrics.js';
 export * from './platform.js';
 export * from './health.js';
+export * from './tls.js';
+export * from './drain.js';
