--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -6,7 +6,8 @@
 } from '@verbenashunt/core';
 import type { EntrySettings, Hello, Message } from '@verbenashunt/schema';
 import {
-  createPlatformClient, drain, protocolVersion, type Connection,
+  createHeartbeats, createPeerMetrics, createPlatformClient, drain, protocolVersion,
+  type Connection,
 } from '@verbenashunt/wire';
 import { createConfigStore } from './config/store.js';
 import { createBodyReader } from './http/body.js';
@@ -93,10 +94,14 @@
     else registry.receive(node, message);
   }
 
+  const peerMetrics = createPeerMetrics(metrics.registry);
+  const heartbeats = createHeartbeats({ clock, onStall: peerMetrics.stalled });
   const peers = createAgentPeers({
     clock,
     random,
     hello,
+    heartbeats,
+    count: peerMetrics.link,
     onMessage: receive,
     onOpen: levelConfig,
     onLost: registry.lost,
@@ -229,6 +234,7 @@
       cancelVmPoll();
       cancelHeadPoll();
       peers.close();
+      heartbeats.close();
       await Promise.all([closeHttp(http, clock, whole), platform.close()]);
       log.info({ whole }, 'stopped');
       return whole;
