--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -2,9 +2,8 @@
 import {
   Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import { createLabelPairs } from './label-pairs.js';
 
-/** Organisations with label values of their own; all further ones share `other`. */
-const maxOrganisations = 200;
 const secondsBuckets = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.1, 2.5, 5, 10, 30];
 const tokenBuckets = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.051, 0.1, 0.25, 0.5, 1, 2];
 
@@ -30,7 +29,7 @@
   const registry = new Registry();
   const registers = [registry];
   const labelNames = ['organisation', 'class'];
-  const known = new Set<string>();
+  const pairOf = createLabelPairs();
   const requests = new Counter({
     name: 'verbenashunt_requests_total', help: 'Requests by outcome.', labelNames: [...labelNames, 'outcome'], registers,
   });
@@ -54,10 +53,7 @@
     name: 'verbenashunt_slow_readers_total', help: 'Answers cut off because their caller did not read them.', registers,
   });
 
-  function labelsOf({ org, cls }: RequestLabels) {
-    if (known.size < maxOrganisations) known.add(org);
-    return { organisation: known.has(org) ? org : 'other', class: cls };
-  }
+  const labelsOf = ({ org, cls }: RequestLabels) => pairOf(org, cls);
 
   return {
     registry,
--- /dev/null
+++ b/test/frame/label-pairs.test.ts
@@ -0,0 +1,10 @@
+/** Series of the request metrics stay bounded whatever organisations and classes there are. */
+import { expect, test } from 'vitest';
+import { createLabelPairs } from '@verbenashunt/entry';
+
+test('pairs beyond the bound share one', () => {
+  const pairOf = createLabelPairs(3);
+  const pairs = ['a', 'b', 'c', 'd', 'a', 'e'].map((org) => pairOf(org, 'chat'));
+  expect(pairs.map(({ organisation }) => organisation)).toEqual(['a', 'b', 'c', 'other', 'a', 'other']);
+  expect(new Set(pairs).size).toBe(4);
+});
