--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,3 +9,6 @@
 export * from './tokens/tokenizer.js';
 export * from './membership/detector.js';
 export * from './membership/stall.js';
+export * from './ledger/admission.js';
+export * from './ledger/call-ledger.js';
+export * from './retry/budget.js';
