--- /dev/null
+++ b/packages/core/src/admission/index.ts
@@ -0,0 +1,5 @@
+/** Admission of requests: fair order, deadlines, refusals. */
+export * from './fair-queue.js';
+export * from './service-rate.js';
+export * from './admission.js';
+export * from './classes.js';
--- /dev/null
+++ b/packages/core/src/limits/index.ts
@@ -0,0 +1,3 @@
+/** Limits of organisations. */
+export * from './token-bucket.js';
+export * from './shares.js';
--- /dev/null
+++ b/packages/core/src/placement/index.ts
@@ -0,0 +1,7 @@
+/** Placement of layer ranges on targets, and the bound that it is measured against. */
+export * from './fleet.js';
+export * from './bound.js';
+export * from './flow.js';
+export * from './greedy.js';
+export * from './stages.js';
+export * from './plan.js';
