Connect entries to a rendezvous-hashed subset, and heed the platform's list

Cause: an entry dialled every agent of every region, a VM that the list called leaving still got work, and each silent connection was pinged on its own account, so cost grew with the fleet.

Change: a directory (pure) keeps the listed VMs and what each agent said; the subset takes the first eight holders by rendezvous hash for every part of the layers, two of another region where the own has none. `leave` tells an agent what the list says; it refuses at once and tells all entries. A newly joined target takes its share over ten seconds. At most 40 pings leave a process a second, those for recently used connections first.

Found by the test "a zone goes and comes back": agents that were never dialled counted as alive, so the subset after a zone loss had 7 of 8 holders; a failed dial now marks the agent down and the subset is chosen again.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -141,6 +141,14 @@
     ? createEngineTarget(cfg.targetUrl, clock, engineHandlers)
     : undefined;
 
+  /** The platform's list says that this VM is leaving; it holds until the process ends. */
+  function leave() {
+    if (draining) return;
+    draining = true;
+    log.info('leaving by the platform list');
+    tellEntries();
+  }
+
   const requests = engine ? stages : calls;
   /** What each message does; those that an agent does not take are dropped. */
   const handlers: { [T in Message['t']]?: (message: Extract<Message, { t: T }>, reply: Reply) => void } = {
@@ -154,6 +162,9 @@
     ping: ({ n }, reply) => reply({
       t: 'pong', n, revision: config.revision, load: requests.load(),
     }),
+    leave: (message) => {
+      if (message.incarnation === incarnation) leave();
+    },
     config: ({ record }) => config.offer(record),
     configAsk({ revision }, reply) {
       if (!config.record || config.revision <= revision) return;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,3 +9,5 @@
 export * from './tokens/tokenizer.js';
 export * from './membership/detector.js';
 export * from './membership/stall.js';
+export * from './membership/subset.js';
+export * from './membership/directory.js';
--- a/packages/core/src/membership/detector.ts
+++ b/packages/core/src/membership/detector.ts
@@ -24,8 +24,8 @@
   confirmMs: 1000,
 };
 
-/** What the caller does now: send the ping `n`, hold the peer for suspect, or neither. */
-export type Verdict = { act: 'wait' } | { act: 'ping'; n: number } | { act: 'suspect' };
+/** What the caller does now: send a ping when it can, hold the peer for suspect, or neither. */
+export type Verdict = 'wait' | 'due' | 'suspect';
 
 export interface Detector {
   /** Milliseconds that a ping may stay unanswered while nothing else is heard. */
@@ -36,6 +36,8 @@
   pong(n: number, now: number): void;
   /** `stalledMs` is the part of the time since the last call in which this process did not run. */
   tick(now: number, active: boolean, stalledMs: number): Verdict;
+  /** Takes the number of a ping that is sent now. */
+  ping(now: number): number;
 }
 
 const meanShare = 1 / 8;
@@ -44,9 +46,6 @@
 /** A ping that only other traffic follows is given this many time-outs. */
 const oneWayTimeouts = 4;
 
-const wait: Verdict = { act: 'wait' };
-const suspect: Verdict = { act: 'suspect' };
-
 /** Smoothed round trip in milliseconds. */
 function createRoundTrip() {
   let mean: number | undefined;
@@ -106,11 +105,13 @@
         pongAt += stalledMs;
         if (sent) sent = { ...sent, at: sent.at + stalledMs };
       }
-      if (overdue(at)) return suspect;
-      if (!due(at, active)) return wait;
+      if (overdue(at)) return 'suspect';
+      return due(at, active) ? 'due' : 'wait';
+    },
+    ping(at) {
       count += 1;
       sent = { n: count, at };
-      return { act: 'ping', n: count };
+      return count;
     },
   };
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -147,8 +147,8 @@
     targets: readonly string[],
     avoid: ReadonlySet<string>,
   ): AgentPeer | undefined {
-    const able = peers.list().filter(({ node, state }) => targets.includes(state.target)
-      && state.serving && !state.draining && !avoid.has(node));
+    const able = peers.able()
+      .filter(({ node, state }) => targets.includes(state.target) && !avoid.has(node));
     const pick = () => able[Math.floor(random() * able.length)];
     const [a, b] = [pick(), pick()];
     return a && b && b.own < a.own ? b : a;
--- a/packages/entry/src/peers/agents.ts
+++ b/packages/entry/src/peers/agents.ts
@@ -1,13 +1,19 @@
 /** The agents of this entry: candidates by the platform's list, serving by their own word. */
 import Emittery from 'emittery';
-import { ProtocolError, type Clock, type StageCandidate } from '@verbenashunt/core';
+import {
+  createDirectory, ProtocolError, type Clock, type Directory, type StageCandidate,
+  type SubsetOptions,
+} from '@verbenashunt/core';
 import type {
   Hello, Message, Vm, TargetState,
 } from '@verbenashunt/schema';
 import {
-  createDialer, type Connection, type Dialer, type Heartbeats, type LinkEvent,
+  createDialer, type Connection, type Dialer, type DialerOptions, type Heartbeats, type LinkEvent,
 } from '@verbenashunt/wire';
 
+/** Wait before links are brought in line with the directory, so that many losses cost one run. */
+const reconcileMs = 20;
+
 export interface AgentPeer {
   node: string;
   zone: string;
@@ -28,10 +34,14 @@
 
 export interface AgentPeers {
   readonly events: Emittery<AgentPeersEvents>;
-  /** Dials new VMs and lets go of those that are no longer listed. */
+  /** VMs listed, links dialled or open, and links open. */
+  readonly sizes: { listed: number; dialled: number; open: number };
+  /** Takes the platform's list of VMs. */
   update(vms: readonly Vm[]): void;
   get(node: string): AgentPeer | undefined;
   list(): AgentPeer[];
+  /** Agents that may be given new work. */
+  able(): AgentPeer[];
   /** Targets that serve a model version, as candidates for a stage. */
   candidates(model: string, version: string): StageCandidate[];
   broadcast(message: Message): void;
@@ -43,6 +53,11 @@
   random: () => number;
   hello: () => Hello;
   heartbeats: Heartbeats;
+  /** Sizes of the subset that is connected to. */
+  subset?: Partial<SubsetOptions>;
+  dial?: (options: DialerOptions) => Dialer;
+  /** Whether an operator drained the target. */
+  drained?(target: string): boolean;
   count(event: LinkEvent, err?: Error): void;
   onMessage(node: string, message: Message): void;
   onOpen(connection: Connection): void;
@@ -53,80 +68,129 @@
 }
 
 interface Tracked {
-  dialer: Dialer;
   vm: Vm;
+  dialer?: Dialer;
   peer?: AgentPeer | undefined;
+  /** In the subset; other links stay open only until their work is done. */
+  wanted: boolean;
+}
+
+const noState = () => new ProtocolError('an agent said no state', { props: { code: 'bad_message' } });
+
+function createPeer(vm: Vm, { peer, send }: Connection, state: TargetState): AgentPeer {
+  return {
+    node: vm.id,
+    zone: peer.zone,
+    region: peer.region,
+    host: vm.host,
+    port: vm.port,
+    incarnation: peer.incarnation,
+    state,
+    own: 0,
+    send,
+  };
 }
 
+const candidateOf = (peer: AgentPeer, share: number) => (
+  { lo, hi }: { lo: number; hi: number },
+): StageCandidate => ({
+  node: peer.node,
+  zone: peer.zone,
+  region: peer.region,
+  lo,
+  hi,
+  layerMs: peer.state.accelerator?.layerMsPerToken ?? 0,
+  active: Math.max(peer.own, peer.state.load.active),
+  limit: Math.max(1, Math.floor(peer.state.load.limit * share)),
+});
+
 export function createAgentPeers(deps: AgentPeersDeps): AgentPeers {
+  const { clock, dial = createDialer } = deps;
+  const { node: self, region } = deps.hello();
   const events = new Emittery<AgentPeersEvents>();
+  const directory: Directory = createDirectory({ self, region, ...deps.subset }, clock.now());
   const tracked = new Map<string, Tracked>();
+  let cancelReconcile: (() => void) | undefined;
+
+  /** Tells an agent what the platform's list says of it. */
+  function tellLeaving({ node, incarnation, send }: AgentPeer) {
+    if (directory.leaving(node)) send({ t: 'leave', incarnation });
+  }
 
-  const noState = () => new ProtocolError('an agent said no state', { props: { code: 'bad_message' } });
+  /* eslint-disable @typescript-eslint/no-use-before-define -- losses change what is dialled */
+  function reconcileSoon() {
+    cancelReconcile ??= clock.after(reconcileMs, reconcile);
+  }
+  /* eslint-enable @typescript-eslint/no-use-before-define */
 
   function opened(entry: Tracked, connection: Connection) {
-    const { peer } = connection;
-    if (!peer.state) {
+    const { state, incarnation } = connection.peer;
+    if (!state) {
       connection.close(noState());
       return;
     }
-    const { vm } = entry;
-    Object.assign(entry, {
-      peer: {
-        node: vm.id,
-        zone: peer.zone,
-        region: peer.region,
-        host: vm.host,
-        port: vm.port,
-        incarnation: peer.incarnation,
-        state: peer.state,
-        own: 0,
-        send: connection.send,
-      },
-    });
+    const peer = createPeer(entry.vm, connection, state);
+    Object.assign(entry, { peer });
+    directory.up(peer.node, state, incarnation, clock.now());
     deps.onOpen(connection);
-    events.emit('up', vm.id);
+    tellLeaving(peer);
+    reconcileSoon();
+    events.emit('up', peer.node);
   }
 
-  function resumed(entry: Tracked, connection: Connection) {
-    const { peer } = entry;
+  function resumed({ peer }: Tracked, connection: Connection) {
     const { state } = connection.peer;
     if (!peer || !state) {
       connection.close(noState());
       return;
     }
     Object.assign(peer, { state, send: connection.send });
+    directory.heard(peer.node, state, clock.now());
     deps.onOpen(connection);
+    tellLeaving(peer);
     deps.onResumed(peer.node);
   }
 
-  function received(entry: Tracked, message: Message) {
-    const { peer } = entry;
+  function received({ peer }: Tracked, message: Message) {
     if (!peer) return;
-    if (message.t === 'state') peer.state = message.state;
-    if ('load' in message && message.load) peer.state = { ...peer.state, load: message.load };
+    if (message.t === 'state') {
+      Object.assign(peer, { state: message.state });
+      directory.heard(peer.node, peer.state, clock.now());
+      reconcileSoon();
+    }
+    if ('load' in message && message.load) Object.assign(peer.state, { load: message.load });
     deps.onMessage(peer.node, message);
   }
 
-  function lost(entry: Tracked) {
+  function gone(entry: Tracked) {
     if (!entry.peer) return;
     Object.assign(entry, { peer: undefined });
     deps.onLost(entry.vm.id);
     events.emit('down', entry.vm.id);
   }
 
+  function lost(entry: Tracked) {
+    directory.down(entry.vm.id);
+    gone(entry);
+    reconcileSoon();
+  }
+
   function track(vm: Vm) {
-    const entry = { vm } as Tracked;
-    entry.dialer = createDialer({
+    const entry: Tracked = { vm, wanted: true };
+    tracked.set(vm.id, entry);
+    entry.dialer = dial({
       node: vm.id,
       host: vm.host,
       port: vm.port,
-      clock: deps.clock,
+      clock,
       random: deps.random,
       hello: deps.hello,
       heartbeats: deps.heartbeats,
       ping: (n) => ({ t: 'ping', n, revision: deps.hello().revision }),
-      count: deps.count,
+      count(event, err) {
+        deps.count(event, err);
+        if (event === 'refused' && directory.failed(vm.id, clock.now())) reconcileSoon();
+      },
       handlers: {
         onOpen: (connection) => opened(entry, connection),
         onResumed: (connection) => resumed(entry, connection),
@@ -134,45 +198,59 @@
         onClose: () => lost(entry),
       },
     });
-    tracked.set(vm.id, entry);
   }
 
-  function untrack(id: string, entry: Tracked) {
-    tracked.delete(id);
-    entry.dialer.close();
-    lost(entry);
+  function untrack(entry: Tracked) {
+    tracked.delete(entry.vm.id);
+    entry.dialer?.close();
+    directory.released(entry.vm.id, clock.now());
+    gone(entry);
+  }
+
+  const isCurrent = ({ vm, peer }: Tracked, wanted: Vm | undefined) => peer !== undefined
+    || (vm.host === wanted?.host && vm.port === wanted?.port);
+
+  /** Dials what is wanted and lets go of the rest once its work is done. */
+  function reconcile() {
+    cancelReconcile?.();
+    cancelReconcile = undefined;
+    const wanted = directory.wanted(clock.now());
+    tracked.forEach((entry) => Object.assign(entry, { wanted: wanted.has(entry.vm.id) }));
+    [...tracked.values()].filter((entry) => !isCurrent(entry, wanted.get(entry.vm.id))
+      || (!entry.wanted && !entry.peer?.own))
+      .forEach(untrack);
+    [...wanted.values()].filter(({ id }) => !tracked.has(id)).forEach(track);
   }
 
-  const sameAddress = (a: Vm, b: Vm | undefined) => a.host === b?.host && a.port === b.port;
   const list = () => [...tracked.values()].flatMap(({ peer }) => peer ?? []);
+  const mayServe = ({ node, state }: AgentPeer) => state.serving && !state.draining
+    && tracked.get(node)!.wanted && !directory.leaving(node)
+    && !deps.drained?.(state.target);
+  const able = () => list().filter(mayServe);
 
   return {
     events,
+    get sizes() {
+      return { listed: directory.size, dialled: tracked.size, open: list().length };
+    },
     update(vms) {
-      const listed = new Map(vms.filter(({ role }) => role === 'agent').map((vm) => [vm.id, vm]));
-      [...tracked].filter(([id, { vm, peer }]) => !sameAddress(vm, listed.get(id)) && !peer?.own)
-        .forEach(([id, entry]) => untrack(id, entry));
-      [...listed.values()].filter(({ id }) => !tracked.has(id)).forEach(track);
-      tracked.forEach((entry, id) => Object.assign(entry, { vm: listed.get(id) ?? entry.vm }));
+      directory.update(vms, clock.now());
+      list().forEach(tellLeaving);
+      reconcile();
     },
     get: (node) => tracked.get(node)?.peer,
     list,
+    able,
     candidates(model, version) {
-      return list().filter(({ state }) => state.serving && !state.draining)
-        .flatMap(({ state, own, ...peer }) => state.loaded
-          .filter((l) => l.model === model && l.version === version)
-          .map((l) => ({
-            node: peer.node,
-            zone: peer.zone,
-            region: peer.region,
-            lo: l.lo,
-            hi: l.hi,
-            layerMs: state.accelerator?.layerMsPerToken ?? 0,
-            active: Math.max(own, state.load.active),
-            limit: state.load.limit,
-          })));
+      const now = clock.now();
+      return able().flatMap((peer) => peer.state.loaded
+        .filter((l) => l.model === model && l.version === version)
+        .map(candidateOf(peer, directory.share(peer.node, now))));
     },
     broadcast: (message) => list().forEach((peer) => peer.send(message)),
-    close: () => tracked.forEach(({ dialer }) => dialer.close()),
+    close() {
+      cancelReconcile?.();
+      tracked.forEach(({ dialer }) => dialer?.close());
+    },
   };
 }
--- a/packages/wire/src/heartbeat.ts
+++ b/packages/wire/src/heartbeat.ts
@@ -10,6 +10,10 @@
 /** Time after its last work for which a connection counts as in use, in milliseconds. */
 const activeMs = 10_000;
 
+/** Pings that a process sends a second, whatever its number of connections. */
+const maxPingsPerSecond = 40;
+const maxPingsPerTick = (maxPingsPerSecond * tickMs) / 1000;
+
 export interface Watch {
   /** Passes a pong to the detector. */
   pong(n: number): void;
@@ -31,7 +35,29 @@
   onStall?: (ms: number) => void;
 }
 
-type Ticker = (now: number, stalledMs: number) => void;
+/** A ping that is due. */
+interface Due {
+  connection: Connection;
+  send(now: number): void;
+}
+
+type Ticker = (now: number, stalledMs: number) => Due | undefined;
+
+/**
+ * Picks the pings for one tick: half for the connections that carried work last, since a silence
+ * there holds up an answer, the rest for those that were silent longest.
+ */
+export function choosePings<T extends { connection: Pick<Connection, 'usedAt' | 'heardAt'> }>(
+  due: readonly T[],
+  allowance: number,
+): T[] {
+  if (due.length <= allowance) return [...due];
+  const recent = [...due].sort((a, b) => b.connection.usedAt - a.connection.usedAt)
+    .slice(0, Math.ceil(allowance / 2));
+  const silent = due.filter((one) => !recent.includes(one))
+    .sort((a, b) => a.connection.heardAt - b.connection.heardAt);
+  return [...recent, ...silent.slice(0, allowance - recent.length)];
+}
 
 /** Creates the ticker. It runs while something is watched. */
 export function createHeartbeats(options: HeartbeatOptions): Heartbeats {
@@ -45,7 +71,8 @@
     const stalledMs = meter.measure(now);
     if (stalledMs > 0) options.onStall?.(stalledMs);
     cancel = tickers.size > 0 ? clock.after(tickMs, tick) : undefined;
-    [...tickers].forEach((ticker) => ticker(now, stalledMs));
+    const due = [...tickers].flatMap((ticker) => ticker(now, stalledMs) ?? []);
+    choosePings(due, maxPingsPerTick).forEach(({ send }) => send(now));
   }
 
   function add(ticker: Ticker, pong: Watch['pong']): Watch {
@@ -62,6 +89,7 @@
       const detector = createDetector(clock.now(), options.detector);
       let seen = connection.heardAt;
       let told = false;
+      const due: Due = { connection, send: (now) => connection.send(message(detector.ping(now))) };
       return add((now, stalledMs) => {
         if (connection.heardAt > seen) {
           seen = connection.heardAt;
@@ -69,19 +97,21 @@
           detector.heard(seen);
         }
         const verdict = detector.tick(now, now - connection.usedAt < activeMs, stalledMs);
-        if (verdict.act === 'ping') connection.send(message(verdict.n));
-        if (verdict.act !== 'suspect' || told) return;
+        if (verdict === 'due') return due;
+        if (verdict === 'wait' || told) return undefined;
         told = true;
         onSuspect();
+        return undefined;
       }, (n) => detector.pong(n, clock.now()));
     },
     listen(connection, limitMs, onSilent) {
       let allowedMs = limitMs;
       const watch = add((now, stalledMs) => {
         allowedMs = now - connection.heardAt <= limitMs ? limitMs : allowedMs + stalledMs;
-        if (now - connection.heardAt <= allowedMs) return;
+        if (now - connection.heardAt <= allowedMs) return undefined;
         watch.stop();
         onSilent();
+        return undefined;
       }, () => {});
       return watch;
     },
--- a/packages/wire/src/listen.ts
+++ b/packages/wire/src/listen.ts
@@ -8,7 +8,7 @@
 const helloTimeoutMs = 3000;
 
 /** Silence after which the listening side closes; the dialling side pings far more often. */
-const maxSilenceMs = 10_000;
+const maxSilenceMs = 30_000;
 
 /** Connections open at once; further ones are refused. */
 const maxConnections = 10_000;
--- a/packages/wire/src/roles.ts
+++ b/packages/wire/src/roles.ts
@@ -2,7 +2,7 @@
 import { ProtocolError } from '@verbenashunt/core';
 import type { Hello, Message } from '@verbenashunt/schema';
 
-const entryOnly: ReadonlySet<Message['t']> = new Set(['offer', 'start', 'call', 'resume']);
+const entryOnly: ReadonlySet<Message['t']> = new Set(['offer', 'start', 'call', 'resume', 'leave']);
 const agentOnly: ReadonlySet<Message['t']> = new Set(['state', 'accept', 'token', 'end', 'result']);
 
 /** The fault of a message that its sender's role may not send, or of a second hello. */
