--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -15,3 +15,5 @@
 export * from './ledger/admission.js';
 export * from './ledger/call-ledger.js';
 export * from './retry/budget.js';
+export * from './membership/subset.js';
+export * from './membership/directory.js';
