--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -17,8 +17,10 @@
 import { closeHttp, serveEntryHttp } from './http/server.js';
 import { createEntryMetrics } from './metrics.js';
 import { createAgentPeers, type AgentPeer } from './peers/agents.js';
+import { createCallRecords } from './requests/call-records.js';
 import { createGeneration } from './requests/generation.js';
 import { createRequestRegistry, type RequestRun } from './requests/registry.js';
+import { createEntryRetries } from './requests/retries.js';
 import { createServiceCall } from './requests/service-call.js';
 
 const sameZoneLinkMs = 0.1;
@@ -52,6 +54,8 @@
   const metrics = createEntryMetrics();
   const platform = createPlatformClient(cfg.platformUrl);
   const store = createConfigStore(platform);
+  const records = createCallRecords(platform);
+  const retries = createEntryRetries(clock);
   const requestTimeoutMs = cfg.requestTimeoutMs ?? 60_000;
   let stopping = false;
   let sequence = 0;
@@ -145,15 +149,15 @@
   }
 
   const shared = {
-    clock, entry: cfg.node, revision: () => config.revision, agent: peers.get,
+    clock, random, retries, entry: cfg.node, revision: () => config.revision, agent: peers.get,
   };
 
   function pickTarget(
     targets: readonly string[],
     avoid: ReadonlySet<string>,
   ): AgentPeer | undefined {
-    const able = peers.list().filter(({ node, state }) => targets.includes(state.target)
-      && state.serving && !state.draining && !avoid.has(node));
+    const able = peers.able()
+      .filter(({ node, state }) => targets.includes(state.target) && !avoid.has(node));
     const pick = () => able[Math.floor(random() * able.length)];
     const [a, b] = [pick(), pick()];
     return a && b && b.own < a.own ? b : a;
@@ -184,7 +188,11 @@
       }),
     })),
     call: (spec, targets, sink) => register(spec.req, (closed) => createServiceCall(spec, sink, {
-      ...shared, closed, choose: (avoid) => pickTarget(targets, avoid),
+      ...shared,
+      closed,
+      records,
+      follow: (other) => registry.follow(other, spec.req),
+      choose: (avoid) => pickTarget(targets, avoid),
     })),
   });
 
--- a/packages/entry/src/http/callers.ts
+++ b/packages/entry/src/http/callers.ts
@@ -39,6 +39,15 @@
   org: OrganisationDecl;
 }
 
+const maxKeyLength = 255;
+
+/** The Idempotency-Key of a call that may not be repeated; refuses one without. */
+function keyOf(req: IncomingMessage): string {
+  const key = req.headers['idempotency-key'];
+  if (typeof key === 'string' && key !== '' && key.length <= maxKeyLength) return key;
+  throw createRefusal('key_required');
+}
+
 export function createCallerHandlers(deps: CallerDeps) {
   const { clock, metrics, readBody } = deps;
   const streamBounds = {
@@ -148,6 +157,8 @@
       const match = admitted.view.routeOf(method, url.pathname);
       if (!match) throw createRefusal('not_found', { detail: `${method} ${url.pathname}` });
       checkFleet(admitted, match.fleet);
+      const repeatable = isRepeatable(match.route, method);
+      const key = repeatable ? undefined : keyOf(req);
       const body = await readBody(req, deps.maxBodyBytes);
       const id = deps.nextId();
       const startedAt = clock.now();
@@ -165,7 +176,8 @@
         path: url.pathname + url.search,
         headers: headersOf(req),
         body: body.toString('base64'),
-        repeatable: isRepeatable(match.route, method),
+        repeatable,
+        key,
         deadline: startedAt + (match.route.timeoutMs ?? deps.requestTimeoutMs),
       }, match.route.targets, {
         result(result) {
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -5,3 +5,4 @@
 export * from './requests/registry.js';
 export * from './config/store.js';
 export * from './label-pairs.js';
+export * from './peers/agents.js';
