Resume the stream to an engine, and complete the stand-ins

Cause: a broken connection between agent and engine, which live side by side, ended every sequence, though engines can resume. Change: the agent opens its stream as a session, sends again what was not answered and takes up the outputs where they broke off; the stand-in keeps a session for a grace and runs no operation twice. Also: a link stand-in with delay and bandwidth; faults of single tables, an outage of the VM list, one rate for all weight downloads, objects under the read rate; KV is taken only for held layers.

--- a/packages/agent/src/targets/engine-target.ts
+++ b/packages/agent/src/targets/engine-target.ts
@@ -1,4 +1,5 @@
 /** The agent's side of a model engine: one duplex stream of operations, and its status. */
+import { randomUUID } from 'node:crypto';
 import { PassThrough } from 'node:stream';
 import { createInterface } from 'node:readline';
 import { Client } from 'undici';
@@ -6,7 +7,9 @@
 import {
   validators, type EngineOp, type EngineOut, type EngineStatus,
 } from '@verbenashunt/schema';
+import { createPendingOps } from './pending-ops.js';
 
+const statusNotFound = 404;
 const statusPollMs = 500;
 const reopenMs = 200;
 
@@ -42,8 +45,13 @@
   const streamClient = new Client(url, { headersTimeout: 0, bodyTimeout: 0 });
   const statusClient = new Client(url, { headersTimeout: 2000, bodyTimeout: 2000 });
   let ops: PassThrough | undefined;
+  const pending = createPendingOps();
+  let session = randomUUID();
+  /** Outputs received in this session. */
+  let received = 0;
   let up = false;
   let closed = false;
+  let polling = false;
   let cancelPoll = () => {};
 
   async function status(): Promise<EngineStatus> {
@@ -56,6 +64,9 @@
   function down(err: Error) {
     ops?.destroy();
     ops = undefined;
+    session = randomUUID();
+    received = 0;
+    pending.clear();
     if (!up) return;
     up = false;
     handlers.onDown(err);
@@ -63,28 +74,49 @@
 
   function receive(line: string) {
     const out = parseLine(line);
-    if (validators.engineOut(out)) handlers.onOutput(out);
-    else down(new TargetError('the engine sent an output that does not match its schema'));
+    if (validators.engineOut(out)) {
+      received += 1;
+      pending.answered(out);
+      handlers.onOutput(out);
+    } else down(new TargetError('the engine sent an output that does not match its schema'));
   }
 
+  /** Opens the stream, or resumes it where it broke off. */
   async function open() {
     const input = new PassThrough();
-    ops = input;
     // undici sends the head of the request with the first bytes of its body.
     input.write('\n');
-    const { body } = await streamClient.request({ method: 'POST', path: '/stream', body: input });
-    const lines = createInterface({ input: body });
-    lines.on('line', receive);
+    const { body, statusCode } = await streamClient.request({
+      method: 'POST', path: `/stream?session=${session}&after=${received}`, body: input,
+    });
     const lost = () => {
-      if (ops === input) down(new TargetError('the engine closed its stream'));
+      if (ops !== input) return;
+      ops = undefined;
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- a loss starts a poll
+      if (!polling) pollAfter(0);
     };
+    const lines = createInterface({ input: body });
+    lines.on('line', (line) => {
+      if (ops === input) receive(line);
+    });
     body.on('error', lost);
     // The reader passes on the errors of its input.
     lines.on('error', lost);
     lines.on('close', lost);
+    if (statusCode === statusNotFound) throw new TargetError('the engine ended the session');
+    ops = input;
+    pending.list().forEach((op) => input.write(`${JSON.stringify(op)}\n`));
+  }
+
+  /* eslint-disable @typescript-eslint/no-use-before-define -- each poll sets the next */
+  function pollAfter(ms: number) {
+    cancelPoll();
+    if (!closed) cancelPoll = clock.after(ms, poll);
   }
+  /* eslint-enable @typescript-eslint/no-use-before-define */
 
   async function poll() {
+    polling = true;
     try {
       const found = await status();
       if (!ops) await open();
@@ -97,18 +129,25 @@
     } catch (err) {
       down(err as Error);
     }
-    if (!closed) cancelPoll = clock.after(up ? statusPollMs : reopenMs, poll);
+    polling = false;
+    const isCutOff = up && !ops;
+    const nextMs = up ? statusPollMs : reopenMs;
+    pollAfter(isCutOff ? 0 : nextMs);
   }
 
   poll();
   return {
     run(op) {
+      // What is sent to an engine that is down is lost, as its sequences are.
+      if (!up) return;
+      pending.sent(op);
       ops?.write(`${JSON.stringify(op)}\n`);
     },
     async close() {
       closed = true;
       cancelPoll();
       ops?.end();
+      ops = undefined;
       await Promise.all([streamClient.destroy(), statusClient.destroy()]);
     },
   };
--- a/packages/stand-ins/src/bin.ts
+++ b/packages/stand-ins/src/bin.ts
@@ -4,6 +4,7 @@
 } from 'clipanion';
 import { startEngine } from './engine/engine.js';
 import type { StandIn } from './http/server.js';
+import { startLink } from './link/link.js';
 import { startPlatform } from './platform/platform.js';
 import { startService } from './service/service.js';
 
@@ -80,6 +81,8 @@
 
   loadMsPerLayer = Option.String('--load-ms-per-layer', '5');
 
+  resumeGraceMs = Option.String('--resume-grace-ms', '2000');
+
   checksFencing = Option.Boolean('--checks-fencing', false);
 
   execute() {
@@ -107,11 +110,38 @@
       cacheEventDelayMs: Number(this.cacheEventDelayMs),
       cacheEventGapEvery: Number(this.cacheEventGapEvery),
       loadMsPerLayer: Number(this.loadMsPerLayer),
+      resumeGraceMs: Number(this.resumeGraceMs),
     }));
   }
 }
 
+class LinkCommand extends StandInCommand {
+  static override paths = [['link']];
+
+  static override usage = Command.Usage({ description: 'A link of some delay and bandwidth before a TCP address.' });
+
+  target = Option.String('--target', { required: true, description: 'Address to pass on to, as host:port.' });
+
+  delayMs = Option.String('--delay-ms', '0', { description: 'One-way delay.' });
+
+  bandwidth = Option.String('--bandwidth', '0', { description: 'Bytes a second in each direction; 0 is without bound.' });
+
+  async execute() {
+    const [targetHost, targetPort] = this.target.split(':') as [string, string];
+    const link = await startLink({
+      ...this.address,
+      targetHost,
+      targetPort: Number(targetPort),
+      delayMs: Number(this.delayMs),
+      bytesPerSecond: Number(this.bandwidth),
+      silent: false,
+    });
+    process.stdout.write(`${JSON.stringify({ ready: { port: link.port, controlUrl: link.controlUrl } })}\n`);
+    await new Promise(() => {});
+  }
+}
+
 const cli = new Cli({ binaryName: 'verbenashunt-stand-in' });
-[PlatformCommand, ServiceCommand, EngineCommand, Builtins.HelpCommand]
+[PlatformCommand, ServiceCommand, EngineCommand, LinkCommand, Builtins.HelpCommand]
   .forEach((command) => cli.register(command));
 await cli.runExit(process.argv.slice(2));
--- a/packages/stand-ins/src/engine/engine.ts
+++ b/packages/stand-ins/src/engine/engine.ts
@@ -1,4 +1,5 @@
 /** Stand-in of a model engine: one process that holds a layer range and serves it over HTTP. */
+import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createInterface } from 'node:readline';
 import {
@@ -9,6 +10,7 @@
 } from '../http/server.js';
 import { createBatcher } from './batcher.js';
 import { createPrefixCache } from './prefix-cache.js';
+import { createSessionStore } from './sessions.js';
 import { createSequenceStore, type LoadedRange } from './sequences.js';
 
 export interface EngineOptions {
@@ -25,6 +27,8 @@
   cacheBlocks: number;
   cacheEventDelayMs: number;
   cacheEventGapEvery: number;
+  /** Milliseconds for which a session that lost its connection is kept. */
+  resumeGraceMs: number;
   /** Milliseconds to load one layer. */
   loadMsPerLayer: number;
 }
@@ -65,6 +69,10 @@
     batchShare: options.batchShare,
     maxBatch: options.maxBatch,
   }), () => faults.frozen);
+  const sessions = createSessionStore((sequences) => sequences.forEach((seq) => {
+    batcher.cancel(seq);
+    store.drop(seq);
+  }));
   let reported = { active: 0, queued: 0 };
 
   const lag = setInterval(() => {
@@ -83,10 +91,18 @@
     batcher.add({ op, cached, done: () => reply(store.run(op)) });
   }
 
-  function stream(req: IncomingMessage, res: ServerResponse) {
+  /** Serves a connection of a session; one without a session's name cannot be resumed. */
+  function stream(req: IncomingMessage, res: ServerResponse, url: URL) {
+    const name = url.searchParams.get('session');
+    const after = Number(url.searchParams.get('after') ?? 0);
+    if (name && after > 0 && !sessions.has(name)) {
+      sendJson(res, 404, { error: 'unknown_session' });
+      return;
+    }
+    const session = sessions.open(name ?? randomUUID());
+    const send = (out: EngineOut) => res.write(`${JSON.stringify(out)}\n`);
     res.writeHead(200, { 'content-type': 'application/x-ndjson' });
     res.flushHeaders();
-    const owned = new Set<string>();
     const lines = createInterface({ input: req });
     lines.on('line', (line) => {
       if (line === '') return;
@@ -95,17 +111,14 @@
         res.destroy();
         return;
       }
-      owned.add(op.seq);
-      accept(op, (out) => res.write(`${JSON.stringify(out)}\n`));
+      if (session.take(op)) accept(op, session.output);
     });
     lines.on('error', () => res.destroy());
     lines.on('close', () => {
-      owned.forEach((seq) => {
-        batcher.cancel(seq);
-        store.drop(seq);
-      });
+      session.detach(send, name ? options.resumeGraceMs : 0);
       res.end();
     });
+    session.attach(send, after);
   }
 
   function carryOut(order: EngineOrder) {
@@ -148,7 +161,7 @@
 
   const standIn = await serve(options.host, options.port, async (req, res, url) => {
     const [, root, id = '', action] = url.pathname.split('/');
-    if (root === 'stream') stream(req, res);
+    if (root === 'stream') stream(req, res, url);
     else if (root === 'status') sendJson(res, 200, status());
     else if (root === 'orders' && req.method === 'POST') await takeOrder(req, res);
     else if (root === 'orders') sendJson(res, 200, { orders, adapters, role });
@@ -159,8 +172,10 @@
       sendJson(res, kv ? 200 : 404, kv ?? { error: 'unknown_sequence' });
     } else if (root === 'sequences' && action === 'import') {
       const kv: unknown = JSON.parse(await readBody(req));
-      if (validators.kvExport(kv)) store.importKv({ ...kv, seq: decodeURIComponent(id) });
-      sendJson(res, validators.kvExport(kv) ? 200 : 400, {});
+      const isHeld = validators.kvExport(kv)
+        && loaded.some((r) => r.model === kv.model && r.lo <= kv.lo && r.hi >= kv.hi);
+      if (isHeld) store.importKv({ ...kv, seq: decodeURIComponent(id) });
+      sendJson(res, isHeld ? 200 : 409, isHeld ? {} : { error: 'not_loaded' });
     } else if (root === 'faults') {
       Object.assign(faults, JSON.parse(await readBody(req)));
       sendJson(res, 200, faults);
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -2,6 +2,7 @@
 export * from './engine/engine.js';
 export * from './engine/model.js';
 export * from './service/service.js';
+export * from './link/link.js';
 export * from './platform/platform.js';
 export type { StandIn } from './http/server.js';
 export * from './demo/processes.js';
--- a/packages/stand-ins/src/platform/platform.ts
+++ b/packages/stand-ins/src/platform/platform.ts
@@ -7,6 +7,14 @@
   readBody, sendJson, serve, type StandIn,
 } from '../http/server.js';
 
+/** Faults of one table alone. */
+interface TableFaults {
+  outage?: boolean;
+  delayMs?: number;
+  loseAnswers?: number;
+  loseRequests?: number;
+}
+
 interface Faults {
   /** Everything but the VM list answers 503 without effect. */
   outage: boolean;
@@ -19,6 +27,10 @@
   readsPerSecond: number;
   weightBytesPerSecond: number;
   vmLagMs: number;
+  /** The VM list answers 503. */
+  vmOutage: boolean;
+  /** Faults by table, on top of the others. */
+  tables: Record<string, TableFaults>;
 }
 
 export interface PlatformOptions {
@@ -51,6 +63,7 @@
   const objects = new Map<string, string>();
   let current = vms;
   let visible = vms;
+  let weightsFreeAt = 0;
   const counts = { reads: 0, writes: 0 };
   const faults: Faults = {
     outage: false,
@@ -61,6 +74,8 @@
     readsPerSecond: 2000,
     weightBytesPerSecond: 1e9,
     vmLagMs: 0,
+    vmOutage: false,
+    tables: {},
   };
   const mayWrite = createMeter(() => faults.writesPerSecond);
   const mayRead = createMeter(() => faults.readsPerSecond);
@@ -81,20 +96,43 @@
     return undefined;
   }
 
+  /** The faults that a write meets: the common ones, and those of its tables. */
+  const faultsOf = (names: readonly string[]) => [
+    faults, ...names.flatMap((name) => faults.tables[name] ?? []),
+  ];
+
+  /** Uses up one of the losses that are set. */
+  function lose(kind: 'loseAnswers' | 'loseRequests', names: readonly string[]): boolean {
+    const set = faultsOf(names).find((fault) => (fault[kind] ?? 0) > 0);
+    if (set) set[kind]! -= 1;
+    return set !== undefined;
+  }
+
+  /** Waits out the delays of the tables; false when one of them has an outage. */
+  async function reach(res: ServerResponse, names: readonly string[]): Promise<boolean> {
+    const own = names.flatMap((name) => faults.tables[name] ?? []);
+    const delayMs = Math.max(0, ...own.map((fault) => fault.delayMs ?? 0));
+    if (delayMs > 0) await sleep(delayMs);
+    const isUp = !own.some(({ outage }) => outage);
+    if (!isUp) sendJson(res, 503, { error: 'outage' });
+    return isUp;
+  }
+
   /** Runs a write under the faults set; `effect` returns the answer to send. */
-  function write(res: ServerResponse, effect: () => { status: number; body: unknown }) {
+  function write(
+    res: ServerResponse,
+    names: readonly string[],
+    effect: () => { status: number; body: unknown },
+  ) {
     counts.writes += 1;
     if (!mayWrite()) {
       sendJson(res, 429, { error: 'rate' });
-    } else if (faults.loseRequests > 0) {
-      faults.loseRequests -= 1;
+    } else if (lose('loseRequests', names)) {
       res.destroy();
     } else {
       const { status, body } = effect();
-      if (faults.loseAnswers > 0) {
-        faults.loseAnswers -= 1;
-        res.destroy();
-      } else sendJson(res, status, body);
+      if (lose('loseAnswers', names)) res.destroy();
+      else sendJson(res, status, body);
     }
   }
 
@@ -110,7 +148,10 @@
       sendJson(res, 400, { error: 'bad_transaction' });
       return;
     }
-    write(res, () => {
+    const rows = [...transaction.conditions, ...transaction.puts];
+    const names = [...new Set(rows.map((row) => row.table))];
+    if (!await reach(res, names)) return;
+    write(res, names, () => {
       const conflict = commit(transaction);
       return conflict ? { status: 409, body: { error: conflict } } : { status: 200, body: {} };
     });
@@ -119,12 +160,14 @@
   async function objectCalls(req: IncomingMessage, res: ServerResponse, key: string) {
     if (req.method !== 'PUT') {
       const body = objects.get(key);
-      res.writeHead(body === undefined ? 404 : 200);
+      counts.reads += 1;
+      const status = body === undefined ? 404 : 200;
+      res.writeHead(mayRead() ? status : 429);
       res.end(body ?? '');
       return;
     }
     const body = await readBody(req);
-    write(res, () => {
+    write(res, [], () => {
       objects.set(key, body);
       return { status: 200, body: {} };
     });
@@ -143,11 +186,26 @@
     sendJson(res, 200, {});
   }
 
+  /** All downloads share the store's rate, one after the other. */
   async function weights(res: ServerResponse, bytes: number) {
-    await sleep((bytes / faults.weightBytesPerSecond) * 1000);
+    const now = performance.now();
+    weightsFreeAt = Math.max(weightsFreeAt, now) + (bytes / faults.weightBytesPerSecond) * 1000;
+    await sleep(weightsFreeAt - now);
     sendJson(res, 200, { bytes });
   }
 
+  async function readTable(res: ServerResponse, url: URL, table: string, key: string | undefined) {
+    if (!await reach(res, [table])) return;
+    if (key) {
+      read(res, tables.get(table)?.get(key));
+      return;
+    }
+    const prefix = url.searchParams.get('prefix') ?? '';
+    const rows = [...tableOf(table).values()].filter((row) => row.key.startsWith(prefix))
+      .sort((x, y) => (x.key < y.key ? -1 : 1));
+    read(res, { rows });
+  }
+
   return serve(host, port, async (req, res, url) => {
     const [, root, a = '', b] = url.pathname.split('/').map(decodeURIComponent);
     if (root === 'faults') {
@@ -155,20 +213,15 @@
       sendJson(res, 200, faults);
     } else if (root === 'counts') sendJson(res, 200, counts);
     else if (root === 'vms' && req.method === 'PUT') await setVms(req, res);
-    else if (root === 'vms') sendJson(res, 200, { vms: visible });
+    else if (root === 'vms') sendJson(res, faults.vmOutage ? 503 : 200, { vms: visible });
     else {
       if (faults.delayMs > 0) await sleep(faults.delayMs);
       if (faults.outage) sendJson(res, 503, { error: 'outage' });
       else if (root === 'transactions') await transactions(req, res);
       else if (root === 'objects') await objectCalls(req, res, [a, b].filter(Boolean).join('/'));
       else if (root === 'weights') await weights(res, Number(url.searchParams.get('bytes') ?? 0));
-      else if (root === 'tables' && b) read(res, tables.get(a)?.get(b));
-      else if (root === 'tables') {
-        const prefix = url.searchParams.get('prefix') ?? '';
-        const rows = [...tableOf(a).values()].filter(({ key }) => key.startsWith(prefix))
-          .sort((x, y) => (x.key < y.key ? -1 : 1));
-        read(res, { rows });
-      } else sendJson(res, 404, { error: 'not_found' });
+      else if (root === 'tables') await readTable(res, url, a, b);
+      else sendJson(res, 404, { error: 'not_found' });
     }
   });
 }
--- a/test/support/in-process.ts
+++ b/test/support/in-process.ts
@@ -38,12 +38,15 @@
   cacheEventDelayMs: 10,
   cacheEventGapEvery: 0,
   loadMsPerLayer: 0,
+  resumeGraceMs: 2000,
 };
 
-/** How the entry is reached when it speaks TLS. */
+/** How the processes reach each other. */
 export interface Reach {
   env?: NodeJS.ProcessEnv;
   dispatcher?: Dispatcher;
+  /** Puts something between the agent and its engine. */
+  engineUrl?(url: string): string | Promise<string>;
 }
 
 export interface InProcess {
@@ -58,7 +61,7 @@
 export async function startInProcess(
   settings: Partial<EntrySettings> = {},
   engine: Partial<EngineOptions> = {},
-  { env = {}, dispatcher }: Reach = {},
+  { env = {}, dispatcher, engineUrl = (url) => url }: Reach = {},
 ): Promise<InProcess> {
   const log = pino({ level: 'silent' });
   const platform = await startPlatform({ host, port: 0, vms: [] });
@@ -67,7 +70,7 @@
   const agentOf = (target: string, targetKind: 'engine' | 'service', targetUrl: string) => createAgent({
     ...place, node: `agent-${target}`, platformUrl: platform.url, target, fleet: 'fleet', targetKind, targetUrl,
   }, { log });
-  const agents = await Promise.all([agentOf('engine', 'engine', model.url), agentOf('app', 'service', app.url)]);
+  const agents = await Promise.all([agentOf('engine', 'engine', await engineUrl(model.url)), agentOf('app', 'service', app.url)]);
   const vms = agents.map(({ peerPort }, i) => ({
     id: ['agent-engine', 'agent-app'][i], role: 'agent', zone: place.zone, region: place.region, host, port: peerPort, state: 'live',
   }));
