Speak TLS towards callers and mutual TLS between entries and agents

Cause: keys and answers went in the clear. Change: a certificate of the system's own authority, shown by both ends; settings take PEM text or a path and are checked as a group. Seen: test/frame/tls.test.ts passes: a chat over TLS on every hop; a plain connection, a foreign certificate and a foreign authority hear no hello.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -9,6 +9,7 @@
 } from '@verbenashunt/schema';
 import {
   createHeartbeats, createPeerMetrics, createPlatformClient, drain, listenForPeers, protocolVersion,
+  resolvePeerTls,
 } from '@verbenashunt/wire';
 import { createCallTable } from './calls/call-table.js';
 import { serveAgentHttp } from './http/server.js';
@@ -58,6 +59,7 @@
   let serving = cfg.targetKind === 'service';
   let draining = false;
   const peerMetrics = createPeerMetrics(metrics.registry);
+  const tls = resolvePeerTls(cfg);
   const heartbeats = createHeartbeats({ clock, onStall: peerMetrics.stalled });
 
   const config = createConfigHolder((view) => {
@@ -183,6 +185,7 @@
     random,
     hello,
     heartbeats,
+    tls,
     count: peerMetrics.link,
     onMessage: (message) => receive(message, () => {}),
     onLost: stages.hopLost,
@@ -196,7 +199,7 @@
       peerMetrics.closed(err);
       entries.closed(connection, err);
     },
-  }, { clock, heartbeats });
+  }, { clock, heartbeats, tls });
   const http = await serveAgentHttp(cfg.host ?? '127.0.0.1', cfg.httpPort, {
     ready: () => serving && !draining,
     metrics() {
--- a/packages/agent/src/peers/links.ts
+++ b/packages/agent/src/peers/links.ts
@@ -1,6 +1,7 @@
 /** Connections from this agent to the next stages of its chains. */
 import {
   createDialer, type Dialer, type Heartbeats, type LinkEvent,
+  type TlsMaterial,
 } from '@verbenashunt/wire';
 import type { Clock } from '@verbenashunt/core';
 import type { Hello, Hop, Message } from '@verbenashunt/schema';
@@ -30,6 +31,7 @@
   random: () => number;
   hello: () => Hello;
   heartbeats: Heartbeats;
+  tls?: TlsMaterial | undefined;
   count(event: LinkEvent, err?: Error): void;
   onMessage(message: Message): void;
   /** The hop is gone with what it held, or could not take more. */
@@ -63,6 +65,7 @@
       random: options.random,
       hello: options.hello,
       heartbeats: options.heartbeats,
+      tls: options.tls,
       count(event, err) {
         options.count(event, err);
         if (event === 'refused' && link.waiting.length > 0) lost(link);
--- a/packages/cli/src/commands/daemon.ts
+++ b/packages/cli/src/commands/daemon.ts
@@ -8,6 +8,7 @@
 import {
   envOf, flagOf, rangeOf, resolveSettings, type SettingsSchema,
 } from '../settings/resolve.js';
+import { loadPems } from '../settings/pem.js';
 
 /** Exit code for a call that is wrong in its settings or arguments. */
 export const usageExitCode = 2;
@@ -71,7 +72,9 @@
     async execute() {
       const flags = Object.fromEntries(names.map((name) => [name, this[`setting_${name}`]]));
       try {
-        const cfg = resolveSettings(spec.schema, spec.validator, flags, process.env);
+        const cfg = await loadPems(
+          resolveSettings(spec.schema, spec.validator, flags, process.env),
+        );
         const log = pino({ level: cfg.logLevel ?? 'info', name: spec.name }, pino.destination(2));
         const daemon = await spec.start(cfg, log);
         this.context.stdout.write(`${JSON.stringify({ ready: daemon.ready })}\n`);
--- a/packages/cli/src/settings/resolve.ts
+++ b/packages/cli/src/settings/resolve.ts
@@ -34,7 +34,8 @@
   return schema.pattern ? `text that matches ${schema.pattern}` : 'text';
 }
 
-const named = (name: string) => `${flagOf(name)} (${envOf(name)})`;
+/** Flag and variable of a setting. */
+export const describeSetting = (name: string) => `${flagOf(name)} (${envOf(name)})`;
 
 function parse(schema: SettingSchema, text: string): unknown {
   if (schema.type === 'integer' || schema.type === 'number') return decimal.test(text) ? Number(text) : text;
@@ -49,12 +50,12 @@
 ): string {
   if (issue.keyword === 'required') {
     const name = String(issue.params.missingProperty);
-    return `${named(name)} is missing (no value); it takes ${rangeOf(schema.properties[name]!)}`;
+    return `${describeSetting(name)} is missing (no value); it takes ${rangeOf(schema.properties[name]!)}`;
   }
   const name = issue.instancePath.slice(1);
   const property = schema.properties[name];
   return property
-    ? `${named(name)} is "${String(values[name])}"; it takes ${rangeOf(property)}`
+    ? `${describeSetting(name)} is "${String(values[name])}"; it takes ${rangeOf(property)}`
     : `${name} ${issue.message}`;
 }
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -6,8 +6,8 @@
 } from '@verbenashunt/core';
 import type { EntrySettings, Hello, Message } from '@verbenashunt/schema';
 import {
-  createHeartbeats, createPeerMetrics, createPlatformClient, drain, protocolVersion,
-  type Connection,
+  createDialer, createHeartbeats, createPeerMetrics, createPlatformClient, drain, protocolVersion,
+  resolvePeerTls, type Connection,
 } from '@verbenashunt/wire';
 import { createConfigStore } from './config/store.js';
 import { createBodyReader } from './http/body.js';
@@ -105,6 +105,7 @@
     random,
     hello,
     heartbeats,
+    dial: (options) => createDialer({ ...options, tls: resolvePeerTls(cfg) }),
     count: peerMetrics.link,
     onMessage: receive,
     onOpen: levelConfig,
--- a/packages/entry/src/http/options.ts
+++ b/packages/entry/src/http/options.ts
@@ -14,5 +14,6 @@
   bodyTimeoutMs: cfg.bodyTimeoutMs ?? 30_000,
   keepAliveTimeoutMs: cfg.keepAliveTimeoutMs ?? 65_000,
   streamStallTimeoutMs: cfg.streamStallTimeoutMs ?? 30_000,
+  ...(cfg.tlsCert && cfg.tlsKey ? { tls: { cert: cfg.tlsCert, key: cfg.tlsKey } } : {}),
   stopping,
 });
--- a/packages/wire/src/dial.ts
+++ b/packages/wire/src/dial.ts
@@ -2,13 +2,13 @@
  * An outgoing link to one peer process. A connection that breaks or goes silent is replaced by a
  * new one: when the same incarnation answers there, the link is resumed, else the peer is lost.
  */
-import { connect } from 'node:net';
 import {
   afterAwake, errorCode, PeerError, type CancelTimer, type Clock,
 } from '@verbenashunt/core';
 import type { Hello, Message, Ping } from '@verbenashunt/schema';
 import { createConnection, type Connection, type ConnectionHandlers } from './connection.js';
 import { createHeartbeats, type Heartbeats, type Watch } from './heartbeat.js';
+import { connectToPeer, type TlsMaterial } from './tls.js';
 
 const minRetryMs = 50;
 const maxRetryMs = 2000;
@@ -39,6 +39,8 @@
 export interface DialerOptions {
   host: string;
   port: number;
+  /** Speaks TLS with this. */
+  tls?: TlsMaterial | undefined;
   /** Node name that must answer; another one is not admitted. */
   node?: string;
   clock: Clock;
@@ -165,7 +167,7 @@
   function dial(helloTimeoutMs: number) {
     if (stopped || trial) return;
     cancelRetry();
-    const socket = connect({ host: options.host, port: options.port });
+    const socket = connectToPeer(options.host, options.port, options.tls);
     trial = createConnection(socket, {
       clock,
       hello: options.hello,
--- a/packages/wire/src/listen.ts
+++ b/packages/wire/src/listen.ts
@@ -1,9 +1,10 @@
 /** The listening side of the protocol between the system's processes. */
-import { createServer, type AddressInfo, type Server } from 'node:net';
+import type { AddressInfo, Server } from 'node:net';
 import { PeerError, SystemClock, type Clock } from '@verbenashunt/core';
 import type { Hello } from '@verbenashunt/schema';
 import { createConnection, type Connection, type ConnectionHandlers } from './connection.js';
 import type { Heartbeats, Watch } from './heartbeat.js';
+import { createPeerServer, type TlsMaterial } from './tls.js';
 
 const helloTimeoutMs = 3000;
 
@@ -24,6 +25,8 @@
   clock?: Clock;
   /** The process's ticker; without one, silence is not watched. */
   heartbeats?: Heartbeats;
+  /** Speaks TLS with this. */
+  tls?: TlsMaterial | undefined;
 }
 
 const silent = () => new PeerError(
@@ -37,11 +40,11 @@
   port: number,
   hello: () => Hello,
   handlers: ConnectionHandlers,
-  { clock = new SystemClock(), heartbeats }: ListenOptions = {},
+  { clock = new SystemClock(), heartbeats, tls }: ListenOptions = {},
 ): Promise<PeerListener> {
   const connections = new Set<Connection>();
   const watches = new Map<Connection, Watch>();
-  const server: Server = createServer((socket) => {
+  const server: Server = createPeerServer(tls, (socket) => {
     const created = createConnection(socket, {
       clock,
       hello,
--- a/test/frame/settings.test.ts
+++ b/test/frame/settings.test.ts
@@ -30,6 +30,8 @@
   ['no number', [...whole, '--peer-port', '1x'], /--peer-port .* is "1x".* whole number/],
   ['not one of the choices', [...whole, '--peer-port', '0', '--log-level', 'loud'], /--log-level .* is "loud".*one of trace/],
   ['not of the pattern', [...whole, '--peer-port', '0', '--zone', 'Zone!'], /--zone \(VERBENASHUNT_ZONE\) is "Zone!".*matches/],
+  ['certificate without its key', [...whole, '--peer-port', '0', '--tls-cert', 'x'], /--tls-key \(VERBENASHUNT_TLS_KEY\) is missing.*--tls-cert/],
+  ['absent certificate', [...whole, '--peer-port', '0', '--tls-cert', '/absent.pem', '--tls-key', '/absent.pem'], /--tls-(cert|key) .* is "\/absent.pem".*PEM/],
   ['unknown command', ['entri'], /"entri" is not a command; known are .*entry/],
   ['command without its flag', ['check'], /--from is missing/],
   ['absent directory', ['check', '-f', '/absent-directory'], /\/absent-directory: /],
--- a/test/support/in-process.ts
+++ b/test/support/in-process.ts
@@ -5,7 +5,7 @@
 import { createAgent } from '@verbenashunt/agent';
 import { sha256 } from '@verbenashunt/core';
 import { createEntry, type Entry } from '@verbenashunt/entry';
-import type { EntrySettings } from '@verbenashunt/schema';
+import type { AgentSettings, EntrySettings } from '@verbenashunt/schema';
 import {
   operatorKey, ProcessError, runCommand, startEngine, startPlatform, startService, waitFor,
   type EngineOptions,
@@ -45,6 +45,7 @@
 export interface Reach {
   env?: NodeJS.ProcessEnv;
   dispatcher?: Dispatcher;
+  agentSettings?: Partial<AgentSettings>;
   /** Puts something between the agent and its engine. */
   engineUrl?(url: string): string | Promise<string>;
 }
@@ -52,6 +53,8 @@
 export interface InProcess {
   entry: Entry;
   url: string;
+  /** Peer port of the engine's agent. */
+  peerPort: number;
   platform: string;
   engine: string;
   stop(): Promise<void>;
@@ -61,14 +64,16 @@
 export async function startInProcess(
   settings: Partial<EntrySettings> = {},
   engine: Partial<EngineOptions> = {},
-  { env = {}, dispatcher, engineUrl = (url) => url }: Reach = {},
+  {
+    env = {}, dispatcher, engineUrl = (url) => url, agentSettings = {},
+  }: Reach = {},
 ): Promise<InProcess> {
   const log = pino({ level: 'silent' });
   const platform = await startPlatform({ host, port: 0, vms: [] });
   const model = await startEngine({ ...engineOptions, ...engine });
   const app = await startService({ host, port: 0 });
   const agentOf = (target: string, targetKind: 'engine' | 'service', targetUrl: string) => createAgent({
-    ...place, node: `agent-${target}`, platformUrl: platform.url, target, fleet: 'fleet', targetKind, targetUrl,
+    ...place, node: `agent-${target}`, platformUrl: platform.url, target, fleet: 'fleet', targetKind, targetUrl, ...agentSettings,
   }, { log });
   const agents = await Promise.all([agentOf('engine', 'engine', await engineUrl(model.url)), agentOf('app', 'service', app.url)]);
   const vms = agents.map(({ peerPort }, i) => ({
@@ -92,6 +97,7 @@
   return {
     entry,
     url,
+    peerPort: agents[0].peerPort,
     platform: platform.url,
     engine: model.url,
     async stop() {
