Commit operators' commands at most once, by the items they touch

Cause: a revision held the whole configuration under one head, so any two operators conflicted, a lost answer was settled by comparing the record of one revision, and a command was recorded nowhere before it took effect.

Change: the configuration is a flat set of items; a revision is a list of changes chained by hash, with a hash of all items after it. A command is recorded before its commit, and the commit closes that row in the same transaction, so reading the row back settles a lost answer, whatever came on top. Changes instead of whole records go to peers; a peer that is far behind gets the state.

Ruled out: whole record per revision (every change would send every node the whole configuration); bodies in the object store (a second service that can be down at a commit, and no transaction over both).

Seen with the defence taken out (npx vitest run test/config/commit): - command row not conditioned: 'a command closed as abandoned cannot take effect later' fails, accepted after it was told refused - no winner: 'drain against undrain' and 'ours is ours' fail, both accepted - head not conditioned: the same two, and one of two drains is lost - previous hash unchecked: 'tampering' fails With it: 11 passed.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -2,7 +2,7 @@
 import Emittery from 'emittery';
 import type { Logger } from 'pino';
 import {
-  createConfigHolder, ProtocolError, SystemClock, type Clock,
+  createConfigHolder, createLeveller, ProtocolError, SystemClock, type Clock,
 } from '@verbenashunt/core';
 import type {
   AgentSettings, Hello, LoadedModel, Message, TargetState,
@@ -56,7 +56,7 @@
   let loaded: LoadedModel[] = [];
   let accelerator: TargetState['accelerator'];
   let serving = cfg.targetKind === 'service';
-  let draining = false;
+  let stopping = false;
   const entries = new Map<string, Connection>();
 
   const config = createConfigHolder((view) => {
@@ -65,11 +65,14 @@
     events.emit('config', view.revision);
   });
 
+  const leveller = createLeveller(config);
+  const draining = () => stopping || Boolean(config.view?.operations.drains.has(cfg.target));
+
   const common = {
     incarnation,
     maxActive,
     revision: () => config.revision,
-    admitting: () => serving && !draining,
+    admitting: () => serving && !draining() && config.revision > 0,
   };
   const service = createServiceTarget(cfg.targetUrl);
   const calls = createCallTable({ ...common, service });
@@ -88,7 +91,7 @@
     kind: cfg.targetKind,
     fleet: cfg.fleet,
     serving,
-    draining,
+    draining: draining(),
     loaded,
     load: (cfg.targetKind === 'engine' ? stages : calls).load(),
     ...(accelerator ? { accelerator } : {}),
@@ -105,6 +108,7 @@
     state: state(),
   });
   const tellEntries = () => entries.forEach((entry) => entry.send({ t: 'state', state: state() }));
+  events.on('config', tellEntries);
 
   function setServing(value: boolean) {
     if (serving === value) return;
@@ -151,14 +155,10 @@
     ping: ({ n }, reply) => reply({
       t: 'pong', n, revision: config.revision, load: requests.load(),
     }),
-    config: ({ record }) => config.offer(record),
-    configAsk({ revision }, reply) {
-      if (!config.record || config.revision <= revision) return;
-      reply({ t: 'config', revision: config.revision, record: config.record });
-    },
   };
 
   function receive(message: Message, reply: Reply) {
+    leveller.receive(message, reply);
     const handler = handlers[message.t] as ((message: Message, reply: Reply) => void) | undefined;
     handler?.(message, reply);
   }
@@ -194,7 +194,7 @@
     },
   });
   const http = await serveAgentHttp(cfg.host ?? '127.0.0.1', cfg.httpPort, {
-    ready: () => serving && !draining,
+    ready: () => serving && !draining(),
     metrics() {
       metrics.active(stages.active + calls.active);
       return metrics.registry.metrics();
@@ -215,7 +215,7 @@
     httpPort: http.port,
     events,
     async stop() {
-      draining = true;
+      stopping = true;
       tellEntries();
       log.info('draining');
       await events.emit('draining');
--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -1,14 +1,21 @@
 /** The verbenashunt command. */
 import { Builtins, Cli } from 'clipanion';
 import { AgentCommand, EntryCommand } from './commands/daemon.js';
-import { ApplyCommand, CheckCommand, StateCommand } from './commands/operator.js';
+import { ApplyCommand, CheckCommand, PlanCommand } from './commands/declarations.js';
+import { CommandCommand, HistoryCommand, ShowCommand } from './commands/history.js';
+import { StateCommand } from './commands/state.js';
+import {
+  DrainCommand, PinCommand, ReleaseCommand, UndrainCommand,
+} from './commands/targets.js';
 
 export function createCli(): Cli {
   const cli = new Cli({
     binaryName: 'verbenashunt', binaryLabel: 'verbenashunt', binaryVersion: '0.1.0',
   });
   [
-    EntryCommand, AgentCommand, CheckCommand, ApplyCommand, StateCommand,
+    EntryCommand, AgentCommand, CheckCommand, PlanCommand, ApplyCommand, HistoryCommand,
+    ShowCommand, CommandCommand, StateCommand, DrainCommand, UndrainCommand, PinCommand,
+    ReleaseCommand,
     Builtins.HelpCommand, Builtins.VersionCommand,
   ].forEach((command) => cli.register(command));
   return cli;
--- a/packages/cli/src/commands/daemon.ts
+++ b/packages/cli/src/commands/daemon.ts
@@ -83,7 +83,7 @@
   validator: validators.entrySettings,
   async start(cfg, log) {
     const entry = await createEntry(cfg, { log });
-    return { stop: entry.stop, ready: { httpPort: entry.httpPort } };
+    return { stop: entry.stop, ready: { httpPort: entry.httpPort, peerPort: entry.peerPort } };
   },
 });
 
--- a/packages/core/src/config/view.ts
+++ b/packages/core/src/config/view.ts
@@ -1,7 +1,8 @@
 /** Look-ups over an accepted configuration, built once per revision. */
 import type {
-  Declarations, FleetDecl, ModelDecl, OrganisationDecl, RevisionRecord, RouteDecl,
+  Declarations, FleetDecl, ModelDecl, OrganisationDecl, RouteDecl,
 } from '@verbenashunt/schema';
+import type { Operations } from './items.js';
 
 export interface RouteMatch {
   fleet: string;
@@ -11,6 +12,8 @@
 export interface ConfigView {
   revision: number;
   declarations: Declarations;
+  /** Drains and pins that operators set. */
+  operations: Operations;
   /** The organisation that owns a bearer key of this SHA-256. */
   organisationOf(keyHash: string): OrganisationDecl | undefined;
   operatorOf(keyHash: string): string | undefined;
@@ -21,6 +24,14 @@
   routeOf(method: string, path: string): RouteMatch | undefined;
 }
 
+export interface ConfigContent {
+  revision: number;
+  declarations: Declarations;
+  operations?: Operations;
+}
+
+const noOperations: Operations = { drains: new Map(), pins: new Map() };
+
 const covers = (prefix: string, path: string) => path === prefix
   || path.startsWith(prefix.endsWith('/') ? prefix : `${prefix}/`);
 
@@ -28,7 +39,9 @@
   || methods.some((allowed) => allowed === method);
 
 /** Builds the look-ups for a revision. */
-export function createConfigView({ revision, declarations }: RevisionRecord): ConfigView {
+export function createConfigView({
+  revision, declarations, operations = noOperations,
+}: ConfigContent): ConfigView {
   const organisations = new Map(declarations.organisations
     .flatMap((org) => org.keyHashes.map((hash) => [hash, org] as const)));
   const operators = new Map((declarations.operators ?? [])
@@ -42,6 +55,7 @@
   return {
     revision,
     declarations,
+    operations,
     organisationOf: (keyHash) => organisations.get(keyHash),
     operatorOf: (keyHash) => operators.get(keyHash),
     hasOperators: operators.size > 0,
--- /dev/null
+++ b/packages/entry/src/config/spread.ts
@@ -0,0 +1,156 @@
+/**
+ * Spreads revisions: reads the head of the table at a rate that does not grow with the fleet, and
+ * passes every step forward to agents and to a few other entries.
+ */
+import type {
+  Clock, ConfigHolder, Leveller, SendMessage,
+} from '@verbenashunt/core';
+import { sha256 } from '@verbenashunt/core';
+import type { Hello, Message, Vm } from '@verbenashunt/schema';
+import {
+  createDialer, listenForPeers, type Connection, type Dialer,
+} from '@verbenashunt/wire';
+import type { ConfigStore } from './store.js';
+
+/** Reads of the head per zone and poll time, shared by the zone's entries. */
+const readsPerZone = 2;
+/** Other entries that an entry dials. */
+const dialedEntries = 3;
+
+export interface ConfigSpreadDeps {
+  clock: Clock;
+  random: () => number;
+  config: ConfigHolder;
+  leveller: Leveller;
+  store: Pick<ConfigStore, 'catchUp'>;
+  node: string;
+  zone: string;
+  host: string;
+  peerPort: number;
+  /** Time in which the entries of a zone read the head `readsPerZone` times, in milliseconds. */
+  pollMs: number;
+  hello(): Hello;
+  /** Sends to all agents. */
+  broadcast(message: Message): void;
+}
+
+export interface ConfigSpread {
+  readonly port: number;
+  /** Entries connected now. */
+  readonly entries: number;
+  /** Takes the platform's list: whom to dial, and how many share the reads. */
+  update(vms: readonly Vm[]): void;
+  /** Passes on the revision that this process has just adopted. */
+  adopted(): void;
+  close(): void;
+}
+
+/** The entries that a node dials: the first ones by rendezvous hash, the same after any order. */
+export function chooseEntries(node: string, vms: readonly Vm[], count = dialedEntries): Vm[] {
+  return vms.filter(({ role, id }) => role === 'entry' && id !== node)
+    .map((vm) => ({ vm, weight: sha256(`${node} ${vm.id}`) }))
+    .sort((a, b) => (a.weight < b.weight ? -1 : 1))
+    .slice(0, count)
+    .map(({ vm }) => vm);
+}
+
+/** Mean time between the reads of one entry, so that a zone's total stays the same. */
+export function headPollMs(pollMs: number, entriesInZone: number): number {
+  return pollMs * Math.max(1, entriesInZone / readsPerZone);
+}
+
+const addressOf = ({ host, port }: Vm) => `${host}:${port}`;
+
+export async function createConfigSpread(deps: ConfigSpreadDeps): Promise<ConfigSpread> {
+  const { clock, config, leveller } = deps;
+  const open = new Map<Connection, number>();
+  const dialers = new Map<string, Dialer>();
+  let entriesInZone = 1;
+  let closed = false;
+  let cancelPoll = () => {};
+  let cancelPing = () => {};
+  let pings = 0;
+
+  const handlers = {
+    onOpen(connection: Connection) {
+      open.set(connection, connection.peer.revision);
+      leveller.heard(connection.peer.revision, connection.send);
+    },
+    onMessage(connection: Connection, message: Message) {
+      if ('revision' in message && message.revision !== undefined) {
+        open.set(connection, message.revision);
+      }
+      if (message.t === 'ping') connection.send({ t: 'pong', n: message.n, revision: config.revision });
+      leveller.receive(message, connection.send);
+    },
+    onClose(connection: Connection) {
+      open.delete(connection);
+    },
+  };
+
+  async function poll() {
+    await deps.store.catchUp().catch(() => {
+      // Serving goes on with the revision in force; peers may bring a newer one.
+    });
+    if (closed) return;
+    const jitter = 0.5 + deps.random();
+    cancelPoll = clock.after(headPollMs(deps.pollMs, entriesInZone) * jitter, poll);
+  }
+
+  /** Tells the revision to the connected entries, so that a lost message is made good. */
+  function ping() {
+    pings += 1;
+    open.forEach((_, { send }) => send({ t: 'ping', n: pings, revision: config.revision }));
+    cancelPing = clock.after(deps.pollMs, ping);
+  }
+
+  function dial(vm: Vm) {
+    dialers.set(addressOf(vm), createDialer({
+      host: vm.host,
+      port: vm.port,
+      clock,
+      random: deps.random,
+      hello: deps.hello,
+      handlers,
+    }));
+  }
+
+  const listener = await listenForPeers(deps.host, deps.peerPort, deps.hello, handlers);
+  await poll();
+  ping();
+
+  /** The text that leads from one revision to the next, for peers that are one behind. */
+  const stepFrom = (send: SendMessage) => send({
+    t: 'config', revision: config.revision, record: config.record!,
+  });
+
+  return {
+    port: listener.port,
+    get entries() {
+      return open.size;
+    },
+    update(vms) {
+      const inZone = vms.filter(({ id, role, zone }) => role === 'entry' && zone === deps.zone && id !== deps.node);
+      entriesInZone = inZone.length + 1;
+      const wanted = new Map(chooseEntries(deps.node, vms).map((vm) => [addressOf(vm), vm]));
+      [...dialers].filter(([address]) => !wanted.has(address)).forEach(([address, dialer]) => {
+        dialer.close();
+        dialers.delete(address);
+      });
+      [...wanted].filter(([address]) => !dialers.has(address)).forEach(([, vm]) => dial(vm));
+    },
+    adopted() {
+      open.forEach((revision, connection) => {
+        if (revision < config.revision) stepFrom(connection.send);
+      });
+      stepFrom(deps.broadcast);
+    },
+    close() {
+      closed = true;
+      cancelPoll();
+      cancelPing();
+      dialers.forEach((dialer) => dialer.close());
+      listener.close();
+    },
+  };
+}
--- a/packages/entry/src/config/store.ts
+++ b/packages/entry/src/config/store.ts
@@ -1,75 +1,212 @@
-/** The configuration head in the table service: read, and moved by conditional write. */
+/** The configuration in the table service: read, and moved by conditional write. */
 import {
-  canonicalJson, ConflictError, genesisHash, PlatformError, sha256,
+  ConflictError, decideCommand, fingerprintOf, PlatformError, refusedOutcome, type Clock,
+  type CommitBase, type CommitDraft, type ConfigHolder,
 } from '@verbenashunt/core';
-import type { Declarations, RevisionRecord } from '@verbenashunt/schema';
+import type {
+  Command, CommandRecord, Outcome, RevisionRecord,
+} from '@verbenashunt/schema';
 import type { PlatformClient } from '@verbenashunt/wire';
+import {
+  abandonedOutcome, commandTable, createCommandLog, openVersion, type Begun,
+} from './command-log.js';
 
 const table = 'config';
 const headKey = 'head';
-const recordKey = (revision: number) => `revision/${String(revision).padStart(12, '0')}`;
+const stateKey = 'state';
+const recordPrefix = 'revision/';
+const recordKey = (revision: number) => `${recordPrefix}${String(revision).padStart(12, '0')}`;
 
-export interface CommitRequest {
-  operator: string;
-  commandId: string;
-  baseRevision: number;
-  declarations: Declarations;
-}
+/** Records that are read one by one before the whole state is read instead. */
+const maxRecordReads = 16;
+/** Records that a command's base may lie behind the head. */
+const maxBaseDistance = 256;
+const settleTimeoutMs = 4000;
+const retryMs = 100;
 
 export interface ConfigStore {
-  /** The record of the head as canonical JSON; undefined before the first commit. */
-  readHead(): Promise<string | undefined>;
+  /** Brings the holder to the head of the table. Throws PlatformError. */
+  catchUp(): Promise<void>;
   /**
-   * Commits a revision on top of its base. ConflictError when another one came first;
-   * PlatformError when the outcome cannot be read back now.
+   * Carries a command out at most once. The outcome is unknown only when the table service cannot
+   * be read after a commit was sent; the same command again, or `outcomeOf`, settles it later.
    */
-  commit(request: CommitRequest, wallMs: number): Promise<string>;
+  submit(command: Command, operator: string): Promise<Outcome>;
+  /** The command on record; one that is still open is closed, so that it cannot happen later. */
+  outcomeOf(commandId: string): Promise<CommandRecord | undefined>;
+  commands(): Promise<CommandRecord[]>;
+  /** Texts of all records in order, and of the head. */
+  history(): Promise<{ records: string[]; head: string | undefined }>;
 }
 
-export function createConfigStore(platform: PlatformClient): ConfigStore {
-  async function readHead() {
-    return (await platform.get(table, headKey))?.value;
-  }
+export interface ConfigStoreDeps {
+  platform: PlatformClient;
+  clock: Clock;
+  random: () => number;
+  config: ConfigHolder;
+}
+
+interface Attempt {
+  /** A commit may have been sent whose outcome was not read back. */
+  sent: boolean;
+  deadline: number;
+}
+
+export function createConfigStore({
+  platform, clock, random, config,
+}: ConfigStoreDeps): ConfigStore {
+  const log = createCommandLog(platform);
+
+  const isoTime = () => new Date(clock.wall()).toISOString();
 
-  async function settle(text: string, revision: number): Promise<string> {
+  const pause = (ms: number) => new Promise<void>((resolve) => {
+    clock.after(ms, resolve);
+  });
+
+  async function readRecord(revision: number): Promise<string> {
     const row = await platform.get(table, recordKey(revision));
-    if (row?.value === text) return text;
-    throw new ConflictError(`revision ${revision} was taken by another command`);
+    if (row) return row.value;
+    throw new PlatformError(`revision ${revision} is missing in the table`);
+  }
+
+  async function readState() {
+    const row = await platform.get(table, stateKey);
+    if (row) config.offer(row.value);
+  }
+
+  /** Reads the head; returns the version of its row. */
+  async function follow(): Promise<number> {
+    const head = await platform.get(table, headKey);
+    if (!head) return 0;
+    if (config.offer(head.value) !== 'gap') return head.version;
+    const { revision } = JSON.parse(head.value) as RevisionRecord;
+    const missing = revision - config.revision - 1;
+    if (missing < maxRecordReads && config.revision > 0) {
+      const revisions = Array.from({ length: missing }, (_, i) => config.revision + 1 + i);
+      (await Promise.all(revisions.map(readRecord))).forEach((text) => config.offer(text));
+      config.offer(head.value);
+    }
+    if (config.revision < revision) await readState();
+    return head.version;
+  }
+
+  async function recordsSince(revision: number): Promise<RevisionRecord[] | undefined> {
+    const distance = config.revision - revision;
+    if (distance <= 0) return [];
+    if (distance > maxBaseDistance) return undefined;
+    const kept = config.recentRecords().filter((record) => record.revision > revision);
+    const oldest = kept[0]?.revision ?? config.revision + 1;
+    const revisions = Array.from({ length: oldest - revision - 1 }, (_, i) => revision + 1 + i);
+    const texts = await Promise.all(revisions.map(readRecord));
+    return [...texts.map((text) => JSON.parse(text) as RevisionRecord), ...kept];
+  }
+
+  async function baseOf(command: Command): Promise<CommitBase> {
+    const since = await recordsSince(command.baseRevision);
+    const { revision, record, items } = config;
+    return {
+      revision, record, items, since,
+    };
+  }
+
+  /** Moves the head, adds the record and closes the command, all or nothing. */
+  async function commit(record: CommandRecord, draft: CommitDraft, headVersion: number) {
+    const outcome: Outcome = { outcome: 'accepted', revision: draft.revision };
+    const key = recordKey(draft.revision);
+    await platform.transact({
+      conditions: [
+        { table, key: headKey, version: headVersion },
+        { table, key, version: 0 },
+        { table: commandTable, key: record.commandId, version: openVersion },
+      ],
+      puts: [
+        { table, key: headKey, value: draft.record },
+        { table, key, value: draft.record },
+        { table, key: stateKey, value: draft.state },
+        log.closing(record, outcome),
+      ],
+    });
+    config.offer(draft.record);
+    return outcome;
+  }
+
+  /** One try; undefined when the head moved or the outcome has to be read back. */
+  async function tryOnce(
+    command: Command,
+    record: CommandRecord,
+    attempt: Attempt,
+  ): Promise<Outcome | undefined> {
+    const found = await log.read(record.commandId);
+    if (found?.outcome) return found.outcome;
+    const headVersion = await follow();
+    const decision = decideCommand(command, record.operator, isoTime(), await baseOf(command));
+    if (decision.kind === 'refused') return log.close(record, decision.outcome);
+    // A head that moved between the reads fails the condition on its version.
+    Object.assign(attempt, { sent: true });
+    return commit(record, decision.draft, headVersion);
+  }
+
+  async function settle(
+    command: Command,
+    record: CommandRecord,
+    attempt: Attempt,
+  ): Promise<Outcome> {
+    try {
+      const outcome = await tryOnce(command, record, attempt);
+      if (outcome) return outcome;
+    } catch (err) {
+      if (!(err instanceof ConflictError) && !(err instanceof PlatformError)) throw err;
+    }
+    if (clock.now() >= attempt.deadline) {
+      return attempt.sent
+        ? { outcome: 'unknown', code: 'platform_unavailable', message: 'the table service did not say whether the change was committed; ask again with the same command id' }
+        : refusedOutcome('platform_unavailable', 'the table service does not answer; nothing was changed');
+    }
+    await pause(retryMs * (0.5 + random()));
+    return settle(command, record, attempt);
+  }
+
+  async function begin(
+    command: Command,
+    operator: string,
+    deadline: number,
+  ): Promise<Begun | undefined> {
+    try {
+      return await log.begin(command, operator, isoTime());
+    } catch (err) {
+      if (!(err instanceof PlatformError)) throw err;
+      if (clock.now() >= deadline) return undefined;
+    }
+    await pause(retryMs * (0.5 + random()));
+    return begin(command, operator, deadline);
   }
 
   return {
-    readHead,
-    async commit(request, wallMs) {
-      const previous = await readHead();
-      const base = previous ? (JSON.parse(previous) as RevisionRecord).revision : 0;
-      if (base !== request.baseRevision) {
-        throw new ConflictError(`the head is revision ${base}, not ${request.baseRevision}`);
-      }
-      const record: RevisionRecord = {
-        revision: base + 1,
-        commandId: request.commandId,
-        operator: request.operator,
-        at: new Date(wallMs).toISOString(),
-        previousHash: previous ? sha256(previous) : genesisHash,
-        declarations: request.declarations,
-      };
-      const text = canonicalJson(record);
-      try {
-        await platform.transact({
-          conditions: [
-            { table, key: headKey, version: base },
-            { table, key: recordKey(record.revision), version: 0 },
-          ],
-          puts: [
-            { table, key: headKey, value: text },
-            { table, key: recordKey(record.revision), value: text },
-          ],
-        });
-        return text;
-      } catch (err) {
-        if (err instanceof PlatformError) return settle(text, record.revision);
-        throw err;
+    async catchUp() {
+      await follow();
+    },
+    async submit(command, operator) {
+      const deadline = clock.now() + settleTimeoutMs;
+      const begun = await begin(command, operator, deadline);
+      if (!begun) return refusedOutcome('platform_unavailable', 'the command could not be recorded; nothing was changed');
+      const { record, fresh } = begun;
+      if (record.fingerprint !== fingerprintOf(command, operator)) {
+        return refusedOutcome('command_reused', `command ${command.commandId} was used by ${record.operator} for another change`);
       }
+      return record.outcome ?? settle(command, record, { sent: !fresh, deadline });
+    },
+    async outcomeOf(commandId) {
+      const record = await log.read(commandId);
+      if (!record || record.outcome) return record;
+      return { ...record, outcome: await log.close(record, abandonedOutcome) };
+    },
+    commands: log.readAll,
+    async history() {
+      const head = await platform.get(table, headKey);
+      const rows = await platform.scan(table, recordPrefix);
+      const last = head ? (JSON.parse(head.value) as RevisionRecord).revision : 0;
+      // Records that were added between the two reads are left out.
+      return { records: rows.slice(0, last).map(({ value }) => value), head: head?.value };
     },
   };
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -2,10 +2,11 @@
 import Emittery from 'emittery';
 import type { Logger } from 'pino';
 import {
-  chooseChain, createConfigHolder, SystemClock, type Clock,
+  chooseChain, createConfigHolder, createLeveller, SystemClock, type Clock,
 } from '@verbenashunt/core';
 import type { EntrySettings, Hello, Message } from '@verbenashunt/schema';
-import { createPlatformClient, protocolVersion, type Connection } from '@verbenashunt/wire';
+import { createPlatformClient, protocolVersion } from '@verbenashunt/wire';
+import { createConfigSpread, type ConfigSpread } from './config/spread.js';
 import { createConfigStore } from './config/store.js';
 import { createCallerHandlers } from './http/callers.js';
 import { createOperatorHandlers } from './http/operators.js';
@@ -27,6 +28,7 @@
 
 export interface Entry {
   readonly httpPort: number;
+  readonly peerPort: number;
   readonly events: Emittery<EntryEvents>;
   /** Takes no new requests, waits for those in flight, then closes. */
   stop(): Promise<void>;
@@ -44,21 +46,22 @@
   const events = new Emittery<EntryEvents>();
   const metrics = createEntryMetrics();
   const platform = createPlatformClient(cfg.platformUrl);
-  const store = createConfigStore(platform);
   const requestTimeoutMs = cfg.requestTimeoutMs ?? 60_000;
   let stopping = false;
   let sequence = 0;
   let cancelVmPoll = () => {};
-  let cancelHeadPoll = () => {};
+  let spread: ConfigSpread | undefined;
 
-  /* eslint-disable @typescript-eslint/no-use-before-define -- each refers to the other */
   const config = createConfigHolder((view) => {
     metrics.revision(view.revision);
     log.info({ revision: view.revision }, 'configuration in force');
-    peers.broadcast({ t: 'config', revision: view.revision, record: config.record! });
+    spread?.adopted();
     events.emit('config', view.revision);
   });
-  /* eslint-enable @typescript-eslint/no-use-before-define */
+  const leveller = createLeveller(config);
+  const store = createConfigStore({
+    platform, clock, random, config,
+  });
 
   const hello = (): Hello => ({
     t: 'hello',
@@ -73,18 +76,10 @@
 
   const registry = createRequestRegistry(metrics.protocolErrors);
 
-  /** Brings a peer forward, or asks it for what it has seen beyond this process. */
-  function levelConfig(connection: Connection) {
-    const { revision } = connection.peer;
-    if (config.record && revision < config.revision) {
-      connection.send({ t: 'config', revision: config.revision, record: config.record });
-    }
-    if (revision > config.revision) connection.send({ t: 'configAsk', revision: config.revision });
-  }
-
   function receive(node: string, message: Message) {
-    if (message.t === 'config') config.offer(message.record);
-    else registry.receive(node, message);
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- each refers to the other
+    leveller.receive(message, (answer) => peers.get(node)?.send(answer));
+    registry.receive(node, message);
   }
 
   const peers = createAgentPeers({
@@ -92,14 +87,16 @@
     random,
     hello,
     onMessage: receive,
-    onOpen: levelConfig,
+    onOpen: ({ peer, send }) => leveller.heard(peer.revision, send),
     onLost: registry.lost,
     onResumed: registry.resumed,
   });
 
   async function pollVms() {
     try {
-      peers.update(await platform.listVms());
+      const vms = await platform.listVms();
+      peers.update(vms);
+      spread?.update(vms);
       metrics.agents(peers.list().length);
     } catch {
       // The last list stays in use; agents speak for themselves.
@@ -107,16 +104,6 @@
     cancelVmPoll = clock.after(cfg.vmPollMs ?? 1000, pollVms);
   }
 
-  async function pollHead() {
-    try {
-      const record = await store.readHead();
-      if (record) config.offer(record);
-    } catch {
-      // Serving goes on with the revision in force.
-    }
-    cancelHeadPoll = clock.after(cfg.headPollMs ?? 1000, pollHead);
-  }
-
   function linkMs(zone: string, region: string, to: { zone: string; region: string }) {
     if (region !== to.region) return otherRegionLinkMs;
     return zone === to.zone ? sameZoneLinkMs : otherZoneLinkMs;
@@ -176,10 +163,7 @@
   const operators = createOperatorHandlers({
     config,
     store,
-    maxBodyBytes: cfg.maxBodyBytes ?? 1_048_576,
     bootstrapOperatorHash: cfg.bootstrapOperatorHash,
-    wall: () => clock.wall(),
-    committed: (record) => config.offer(record),
     state: () => ({
       node: cfg.node,
       revision: config.revision,
@@ -188,7 +172,21 @@
     }),
   });
 
-  await Promise.all([pollVms(), pollHead()]);
+  spread = await createConfigSpread({
+    clock,
+    random,
+    config,
+    leveller,
+    store,
+    hello,
+    node: cfg.node,
+    zone: cfg.zone,
+    host: cfg.host ?? '127.0.0.1',
+    peerPort: cfg.peerPort,
+    pollMs: cfg.headPollMs ?? 1000,
+    broadcast: peers.broadcast,
+  });
+  await pollVms();
   const http = await serveEntryHttp(cfg.host ?? '127.0.0.1', cfg.httpPort, cfg.maxConnections ?? 10_000, {
     health: {
       ready: () => config.view !== undefined && !stopping,
@@ -212,13 +210,14 @@
 
   return {
     httpPort: http.port,
+    peerPort: spread.port,
     events,
     async stop() {
       stopping = true;
       log.info('draining');
       await drained(clock.now() + (cfg.drainTimeoutMs ?? 120_000));
       cancelVmPoll();
-      cancelHeadPoll();
+      spread?.close();
       peers.close();
       await Promise.all([http.close(), platform.close()]);
       log.info('stopped');
--- a/packages/entry/src/http/operators.ts
+++ b/packages/entry/src/http/operators.ts
@@ -1,9 +1,9 @@
 /** The operators' API of an entry. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
-  ConflictError, createRefusal, PlatformError, sha256, type ConfigHolder,
+  createRefusal, PlatformError, sha256, verifyHistory, type ConfigHolder,
 } from '@verbenashunt/core';
-import { validators } from '@verbenashunt/schema';
+import { validators, type Outcome } from '@verbenashunt/schema';
 import type { ConfigStore } from '../config/store.js';
 import { sendJson } from './answers.js';
 import { parseJson, readBody } from './body.js';
@@ -12,51 +12,89 @@
 export interface OperatorDeps {
   config: ConfigHolder;
   store: ConfigStore;
-  maxBodyBytes: number;
   bootstrapOperatorHash: string | undefined;
-  wall(): number;
-  /** A record was committed and is to be spread. */
-  committed(record: string): void;
-  /** The state that `query` shows. */
+  /** What this entry sees now. */
   state(): unknown;
 }
 
-const maxDeclarationBytes = 8 * 1024 * 1024;
+const maxCommandBytes = 8 * 1024 * 1024;
+const retryAfterSeconds = '2';
+const root = '/operator/v1/';
 
-export function createOperatorHandlers(deps: OperatorDeps) {
+/** HTTP status of an outcome. */
+function statusOf({ outcome, code }: Outcome): number {
+  if (outcome === 'accepted') return 200;
+  if (outcome === 'unknown') return 504;
+  if (code === 'platform_unavailable') return 503;
+  return code === 'conflict' ? 409 : 422;
+}
+
+export function createOperatorHandlers({
+  config, store, bootstrapOperatorHash, state,
+}: OperatorDeps) {
   function operatorOf(req: IncomingMessage): string {
     const hash = sha256(bearerOf(req));
-    const { view } = deps.config;
+    const { view } = config;
     const named = view?.operatorOf(hash);
     if (named) return named;
-    if (!view?.hasOperators && hash === deps.bootstrapOperatorHash) return 'bootstrap';
+    if (!view?.hasOperators && hash === bootstrapOperatorHash) return 'bootstrap';
     throw createRefusal('unauthorized');
   }
 
+  async function submit(req: IncomingMessage, res: ServerResponse, operator: string) {
+    const command = parseJson(await readBody(req, maxCommandBytes));
+    if (!validators.command(command)) {
+      const issue = validators.command.errors?.[0];
+      throw createRefusal('bad_request', { detail: `${issue?.instancePath} ${issue?.message}` });
+    }
+    const outcome = await store.submit(command, operator);
+    const status = statusOf(outcome);
+    if (status >= 500) res.setHeader('retry-after', retryAfterSeconds);
+    sendJson(res, status, { commandId: command.commandId, ...outcome });
+  }
+
+  async function showCommand(res: ServerResponse, commandId: string) {
+    const record = await store.outcomeOf(commandId);
+    if (!record) throw createRefusal('not_found', { detail: `command ${commandId}` });
+    sendJson(res, 200, record);
+  }
+
+  async function history(res: ServerResponse) {
+    const { records, head } = await store.history();
+    const fault = verifyHistory(records, head);
+    sendJson(res, 200, {
+      records: records.map((text) => JSON.parse(text) as unknown),
+      ...(fault ? { fault } : {}),
+    });
+  }
+
+  /** Reads by path; each takes what follows its name. */
+  const reads: Record<string, (res: ServerResponse, rest: string) => unknown> = {
+    state: (res) => sendJson(res, 200, state()),
+    config: (res) => sendJson(res, 200, {
+      revision: config.revision,
+      items: [...config.items].map(([item, value]) => ({ item, value })),
+    }),
+    history,
+    commands: async (res, id) => (id
+      ? showCommand(res, id)
+      : sendJson(res, 200, { commands: await store.commands() })),
+  };
+
   return {
-    async apply(req: IncomingMessage, res: ServerResponse) {
+    async operators(req: IncomingMessage, res: ServerResponse) {
       const operator = operatorOf(req);
-      const body = parseJson(await readBody(req, maxDeclarationBytes)) as Record<string, unknown>;
-      const { declarations, baseRevision, commandId } = body;
-      if (!validators.declarations(declarations)) {
-        const issue = validators.declarations.errors?.[0];
-        throw createRefusal('bad_request', { detail: `${issue?.instancePath} ${issue?.message}` });
-      }
+      const path = new URL(req.url ?? '/', 'http://entry').pathname.slice(root.length);
+      const [name = '', rest = ''] = path.split('/').map(decodeURIComponent);
+      const read = reads[name];
       try {
-        const record = await deps.store.commit({
-          operator, commandId: String(commandId), baseRevision: Number(baseRevision), declarations,
-        }, deps.wall());
-        deps.committed(record);
-        sendJson(res, 200, { outcome: 'accepted', revision: deps.config.revision });
+        if (req.method === 'POST' && name === 'commands') await submit(req, res, operator);
+        else if (req.method === 'GET' && read) await read(res, rest);
+        else throw createRefusal('not_found', { detail: path });
       } catch (err) {
-        if (err instanceof ConflictError) sendJson(res, 409, { outcome: 'refused', code: err.code, message: err.message });
-        else if (err instanceof PlatformError) sendJson(res, 503, { outcome: 'unknown', code: err.code, message: err.message });
-        else throw err;
+        if (err instanceof PlatformError) throw createRefusal('platform_unavailable');
+        throw err;
       }
     },
-    async query(req: IncomingMessage, res: ServerResponse) {
-      operatorOf(req);
-      sendJson(res, 200, deps.state());
-    },
   };
 }
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -11,8 +11,8 @@
   health: HealthSource;
   chat: HttpHandler;
   models: HttpHandler;
-  apply: HttpHandler;
-  query: HttpHandler;
+  /** Every path under /operator/v1. */
+  operators: HttpHandler;
   /** Every other path: routes of plain services. */
   service: HttpHandler;
 }
@@ -41,8 +41,7 @@
   addHealthRoutes(app, routes.health);
   app.post('/v1/chat/completions', guarded(routes.chat));
   app.get('/v1/models', guarded(routes.models));
-  app.post('/operator/v1/apply', guarded(routes.apply));
-  app.get('/operator/v1/state', guarded(routes.query));
+  app.all('/operator/v1/*', guarded(routes.operators));
   const server = await app.start(port, host);
   server.maxConnections = maxConnections;
   return {
--- a/packages/stand-ins/src/demo/whole-path.ts
+++ b/packages/stand-ins/src/demo/whole-path.ts
@@ -107,13 +107,24 @@
   const vms = await Promise.all([...engines, ...services].map(startTarget));
   await send('PUT', `${platform}/vms`, { vms });
 
-  const entries = await Promise.all(Array.from({ length: spec.entries }, async (_, i) => {
-    const entry = await keep(startDaemon(`entry-${i + 1}`, [
-      'entry', '--node', `entry-${i + 1}`, ...place(i), '--peer-port', '0', '--http-port', '0',
+  async function startEntry(i: number): Promise<{ url: string; vm: Vm }> {
+    const id = `entry-${i + 1}`;
+    const { ready } = await keep(startDaemon(id, [
+      'entry', '--node', id, ...place(i), '--peer-port', '0', '--http-port', '0',
       '--platform-url', platform, '--bootstrap-operator-hash', sha256(operatorKey), ...spec.entryFlags ?? [],
     ]));
-    return `http://127.0.0.1:${(entry.ready as { httpPort: number }).httpPort}`;
-  }));
+    const { httpPort, peerPort } = ready as { httpPort: number; peerPort: number };
+    return {
+      url: `http://127.0.0.1:${httpPort}`,
+      vm: {
+        id, role: 'entry', zone: zones[i % zones.length]!, region, host: '127.0.0.1', port: peerPort, state: 'live',
+      },
+    };
+  }
+  const started = await Promise.all(Array.from({ length: spec.entries }, (_, i) => startEntry(i)));
+  const entries = started.map(({ url }) => url);
+  await send('PUT', `${platform}/vms`, { vms: [...vms, ...started.map(({ vm }) => vm)] });
+
   const applied = await runCommand([
     'apply', '-f', spec.declarations, '--entry', entries[0]!, '--key', operatorKey,
   ]);
--- /dev/null
+++ b/test/config/commit.test.ts
@@ -0,0 +1,152 @@
+/** Commands against the table service: at most once, conflicts named, lost answers settled. */
+import { expect, test } from 'vitest';
+import { verifyHistory } from '@verbenashunt/core';
+import {
+  applyCommand, createTestEntry, declarationsOfSize, drainCommand, undrainCommand,
+} from '../support/config.js';
+import { createFakePlatform } from '../support/fake-platform.js';
+
+async function createPair() {
+  const platform = createFakePlatform();
+  const [a, b] = [createTestEntry(platform), createTestEntry(platform)];
+  const first = applyCommand('c-1', a.config, declarationsOfSize(3));
+  expect(await a.store.submit(first, 'founder')).toEqual({ outcome: 'accepted', revision: 1 });
+  await b.store.catchUp();
+  return { platform, a, b };
+}
+
+test('the same command again gives its outcome', async () => {
+  const { a, b } = await createPair();
+  const drain = drainCommand('c-2', 1, 't-1');
+  expect(await a.store.submit(drain, 'founder')).toEqual({ outcome: 'accepted', revision: 2 });
+  expect(await b.store.submit(drain, 'founder')).toEqual({ outcome: 'accepted', revision: 2 });
+  expect(await b.store.submit(drain, 'night')).toMatchObject({ outcome: 'refused', code: 'command_reused' });
+  expect((await a.store.history()).records).toHaveLength(2);
+});
+
+test('drain against undrain: one wins, the other is told which and why', async () => {
+  const { a, b } = await createPair();
+  await a.store.submit(drainCommand('c-2', 1, 't-1'), 'founder');
+  const [x, y] = await Promise.all([
+    a.store.submit(undrainCommand('c-3', 2, 't-1'), 'founder'),
+    b.store.submit(drainCommand('c-4', 2, 't-1'), 'night'),
+  ]);
+  const [won, lost] = x.outcome === 'accepted' ? [x, y] : [y, x];
+  expect(won).toEqual({ outcome: 'accepted', revision: 3 });
+  expect(lost).toMatchObject({ outcome: 'refused', code: 'conflict', winner: { revision: 3, item: 'drain/t-1' } });
+  expect(lost.winner!.operator).toBe(x === won ? 'founder' : 'night');
+});
+
+test('commands on other items both pass, on one base', async () => {
+  const { a, b } = await createPair();
+  const outcomes = await Promise.all([
+    a.store.submit(drainCommand('c-2', 1, 't-1'), 'founder'),
+    b.store.submit(drainCommand('c-3', 1, 't-2'), 'night'),
+  ]);
+  expect(outcomes.map(({ outcome }) => outcome)).toEqual(['accepted', 'accepted']);
+  await Promise.all([a.store.catchUp(), b.store.catchUp()]);
+  expect([...a.config.view!.operations.drains.keys()].sort()).toEqual(['t-1', 't-2']);
+  expect(b.config.record).toBe(a.config.record);
+});
+
+test('an applied change that no longer fits is refused, not half taken', async () => {
+  const { a, b } = await createPair();
+  const drain = drainCommand('c-3', 1, 't-3');
+  await a.store.submit(applyCommand('c-2', a.config, declarationsOfSize(2)), 'founder');
+  expect(await b.store.submit(drain, 'night')).toMatchObject({ outcome: 'refused', code: 'not_valid' });
+});
+
+test.each(['lose-answer', 'lose-request', 'delay'] as const)('a commit with fault %s happens once', async (fault) => {
+  const { platform, a, b } = await createPair();
+  const undo = platform.writes;
+  platform.beforeWrite = () => {
+    if (platform.writes === undo + 2) platform.faults = [fault];
+  };
+  const outcome = await a.store.submit(drainCommand('c-2', 1, 't-1'), 'founder');
+  platform.beforeWrite = undefined;
+  platform.release();
+  expect(outcome).toEqual({ outcome: 'accepted', revision: 2 });
+  const { records, head } = await b.store.history();
+  expect(records).toHaveLength(2);
+  expect(verifyHistory(records, head)).toBeUndefined();
+});
+
+test('ours is ours though superseded, and a foreign record is never ours', async () => {
+  const { platform, a, b } = await createPair();
+  const before = platform.writes;
+  platform.beforeWrite = async () => {
+    if (platform.writes !== before + 2) return;
+    platform.beforeWrite = undefined;
+    platform.faults = ['lose-answer'];
+    // The other entry goes on top as soon as the table answers it.
+    setImmediate(() => b.store.submit(drainCommand('c-9', 1, 't-2'), 'night'));
+  };
+  expect(await a.store.submit(drainCommand('c-2', 1, 't-1'), 'founder')).toMatchObject({ outcome: 'accepted' });
+  expect((await a.store.outcomeOf('c-2'))!.outcome).toMatchObject({ outcome: 'accepted' });
+
+  const late = platform.writes;
+  platform.beforeWrite = async () => {
+    if (platform.writes !== late + 2) return;
+    platform.beforeWrite = undefined;
+    platform.faults = ['lose-answer'];
+    await b.store.submit(undrainCommand('c-10', 3, 't-1'), 'night').catch(() => {});
+  };
+  const outcome = await a.store.submit(drainCommand('c-3', 3, 't-1'), 'founder');
+  expect(outcome).toMatchObject({ outcome: 'refused', winner: { operator: 'night', commandId: 'c-10' } });
+});
+
+test('an outage before the commit is refused, one after it is unknown until it ends', async () => {
+  const { platform, a, b } = await createPair();
+  platform.outage = true;
+  expect(await a.store.submit(drainCommand('c-2', 1, 't-1'), 'founder')).toMatchObject({ outcome: 'refused', code: 'platform_unavailable' });
+  platform.outage = false;
+  expect(await a.store.outcomeOf('c-2')).toBeUndefined();
+
+  const before = platform.writes;
+  platform.beforeWrite = () => {
+    if (platform.writes !== before + 2) return;
+    platform.faults = ['lose-answer'];
+    setImmediate(() => {
+      platform.outage = true;
+    });
+  };
+  const slowRead = platform.get;
+  platform.get = async (...args) => {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+    return slowRead(...args);
+  };
+  expect(await a.store.submit(drainCommand('c-3', 1, 't-1'), 'founder')).toMatchObject({ outcome: 'unknown' });
+  platform.outage = false;
+  platform.beforeWrite = undefined;
+  expect((await b.store.outcomeOf('c-3'))!.outcome).toEqual({ outcome: 'accepted', revision: 2 });
+});
+
+test('a command closed as abandoned cannot take effect later', async () => {
+  const { platform, a, b } = await createPair();
+  const before = platform.writes;
+  platform.beforeWrite = async () => {
+    if (platform.writes !== before + 2) return;
+    platform.beforeWrite = undefined;
+    expect((await b.store.outcomeOf('c-2'))!.outcome).toMatchObject({ outcome: 'refused', code: 'abandoned' });
+  };
+  expect(await a.store.submit(drainCommand('c-2', 1, 't-1'), 'founder')).toMatchObject({ outcome: 'refused', code: 'abandoned' });
+  await b.store.catchUp();
+  expect(b.config.revision).toBe(1);
+});
+
+test('tampering with any record shows', async () => {
+  const { platform, a } = await createPair();
+  await a.store.submit(drainCommand('c-2', 1, 't-1'), 'founder');
+  const key = `revision/${'1'.padStart(12, '0')}`;
+  const original = platform.value('config', key)!;
+  platform.overwrite('config', key, original.replace('founder', 'someone'));
+  const { records, head } = await a.store.history();
+  expect(verifyHistory(records, head)).toMatchObject({ revision: 2 });
+  platform.overwrite('config', key, original.replace('"v1', '"v9'));
+  expect(verifyHistory((await a.store.history()).records, head)).toMatchObject({ revision: 1 });
+  platform.overwrite('config', key, original);
+  expect(verifyHistory((await a.store.history()).records, head)).toBeUndefined();
+  expect(verifyHistory(records.slice(0, 1), head)).toBeDefined();
+});
