--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -4,3 +4,4 @@
 export * from './requests/service-call.js';
 export * from './requests/registry.js';
 export * from './config/store.js';
+export * from './config/spread.js';
