--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,3 +12,5 @@
 export * from './config/holder.js';
 export * from './config/leveller.js';
 export * from './tokens/tokenizer.js';
+export * from './membership/detector.js';
+export * from './membership/stall.js';
--- a/packages/entry/src/config/spread.ts
+++ b/packages/entry/src/config/spread.ts
@@ -8,7 +8,7 @@
 import { sha256 } from '@verbenashunt/core';
 import type { Hello, Message, Vm } from '@verbenashunt/schema';
 import {
-  createDialer, listenForPeers, type Connection, type Dialer,
+  createDialer, listenForPeers, type Connection, type Dialer, type Heartbeats,
 } from '@verbenashunt/wire';
 import type { ConfigStore } from './store.js';
 
@@ -23,6 +23,7 @@
   config: ConfigHolder;
   leveller: Leveller;
   store: Pick<ConfigStore, 'catchUp'>;
+  heartbeats: Heartbeats;
   node: string;
   zone: string;
   host: string;
@@ -68,8 +69,6 @@
   let entriesInZone = 1;
   let closed = false;
   let cancelPoll = () => {};
-  let cancelPing = () => {};
-  let pings = 0;
 
   const handlers = {
     onOpen(connection: Connection) {
@@ -97,27 +96,24 @@
     cancelPoll = clock.after(headPollMs(deps.pollMs, entriesInZone) * jitter, poll);
   }
 
-  /** Tells the revision to the connected entries, so that a lost message is made good. */
-  function ping() {
-    pings += 1;
-    open.forEach((_, { send }) => send({ t: 'ping', n: pings, revision: config.revision }));
-    cancelPing = clock.after(deps.pollMs, ping);
-  }
-
   function dial(vm: Vm) {
     dialers.set(addressOf(vm), createDialer({
       host: vm.host,
       port: vm.port,
+      node: vm.id,
       clock,
       random: deps.random,
       hello: deps.hello,
+      heartbeats: deps.heartbeats,
+      ping: (n) => ({ t: 'ping', n, revision: config.revision }),
       handlers,
     }));
   }
 
-  const listener = await listenForPeers(deps.host, deps.peerPort, deps.hello, handlers);
+  const listener = await listenForPeers(deps.host, deps.peerPort, deps.hello, handlers, {
+    clock, heartbeats: deps.heartbeats,
+  });
   await poll();
-  ping();
 
   /** The text that leads from one revision to the next, for peers that are one behind. */
   const stepFrom = (send: SendMessage) => send({
@@ -148,7 +144,6 @@
     close() {
       closed = true;
       cancelPoll();
-      cancelPing();
       dialers.forEach((dialer) => dialer.close());
       listener.close();
     },
--- a/packages/entry/src/http/operators.ts
+++ b/packages/entry/src/http/operators.ts
@@ -6,12 +6,13 @@
 import { validators, type Outcome } from '@verbenashunt/schema';
 import type { ConfigStore } from '../config/store.js';
 import { sendJson } from './answers.js';
-import { parseJson, readBody } from './body.js';
+import { parseJson, type BodyReader } from './body.js';
 import { bearerOf } from './chat.js';
 
 export interface OperatorDeps {
   config: ConfigHolder;
   store: ConfigStore;
+  readBody: BodyReader;
   bootstrapOperatorHash: string | undefined;
   /** What this entry sees now. */
   state(): unknown;
@@ -30,7 +31,7 @@
 }
 
 export function createOperatorHandlers({
-  config, store, bootstrapOperatorHash, state,
+  config, store, readBody, bootstrapOperatorHash, state,
 }: OperatorDeps) {
   function operatorOf(req: IncomingMessage): string {
     const hash = sha256(bearerOf(req));
