--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -2,7 +2,7 @@
 import Emittery from 'emittery';
 import type { Logger } from 'pino';
 import {
-  createConfigHolder, SystemClock, type Clock,
+  createConfigHolder, createLeveller, SystemClock, type Clock,
 } from '@verbenashunt/core';
 import type {
   AgentSettings, Hello, LoadedModel, Message, TargetState,
@@ -56,7 +56,7 @@
   let loaded: LoadedModel[] = [];
   let accelerator: TargetState['accelerator'];
   let serving = cfg.targetKind === 'service';
-  let draining = false;
+  let leaving = false;
   const peerMetrics = createPeerMetrics(metrics.registry);
   const heartbeats = createHeartbeats({ clock, onStall: peerMetrics.stalled });
 
@@ -66,11 +66,14 @@
     events.emit('config', view.revision);
   });
 
+  const leveller = createLeveller(config);
+  const draining = () => leaving || Boolean(config.view?.operations.drains.has(cfg.target));
+
   const common = {
     incarnation,
     maxActive,
     revision: () => config.revision,
-    admitting: () => serving && !draining,
+    admitting: () => serving && !draining() && config.revision > 0,
   };
   const service = createServiceTarget(cfg.targetUrl);
   const calls = createCallTable({ ...common, clock, service });
@@ -89,7 +92,7 @@
     kind: cfg.targetKind,
     fleet: cfg.fleet,
     serving,
-    draining,
+    draining: draining(),
     loaded,
     load: (cfg.targetKind === 'engine' ? stages : calls).load(),
     ...(accelerator ? { accelerator } : {}),
@@ -109,6 +112,7 @@
     clock, onLost: stages.entryLost, onProtocolError: metrics.protocolErrors,
   });
   const tellEntries = () => entries.broadcast({ t: 'state', state: state() });
+  events.on('config', tellEntries);
 
   function setServing(value: boolean) {
     if (serving === value) return;
@@ -144,8 +148,8 @@
 
   /** The platform's list says that this VM is leaving; it holds until the process ends. */
   function leave() {
-    if (draining) return;
-    draining = true;
+    if (leaving) return;
+    leaving = true;
     log.info('leaving by the platform list');
     tellEntries();
   }
@@ -166,14 +170,10 @@
     leave: (message) => {
       if (message.incarnation === incarnation) leave();
     },
-    config: ({ record }) => config.offer(record),
-    configAsk({ revision }, reply) {
-      if (!config.record || config.revision <= revision) return;
-      reply({ t: 'config', revision: config.revision, record: config.record });
-    },
   };
 
   function receive(message: Message, reply: Reply) {
+    leveller.receive(message, reply);
     const handler = handlers[message.t] as ((message: Message, reply: Reply) => void) | undefined;
     handler?.(message, reply);
   }
@@ -198,7 +198,7 @@
     },
   }, { clock, heartbeats });
   const http = await serveAgentHttp(cfg.host ?? '127.0.0.1', cfg.httpPort, {
-    ready: () => serving && !draining,
+    ready: () => serving && !draining(),
     metrics() {
       metrics.active(stages.active + calls.active);
       return metrics.registry.metrics();
@@ -211,7 +211,7 @@
     httpPort: http.port,
     events,
     async stop(hurry) {
-      draining = true;
+      leaving = true;
       tellEntries();
       log.info('draining');
       await events.emit('draining');
