--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -6,3 +6,4 @@
 export * from './config/store.js';
 export * from './label-pairs.js';
 export * from './peers/agents.js';
+export * from './config/spread.js';
