--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -58,6 +58,11 @@
     files: ['packages/stand-ins/src/engine/**'],
     rules: { 'no-bitwise': 'off' },
   },
+  {
+    // Writes docs before the packages are built.
+    files: ['scripts/docs.ts'],
+    rules: { 'import-x/no-relative-packages': 'off' },
+  },
   {
     files: ['scripts/**', 'test/**', 'bench/**', '*.config.*', 'packages/stand-ins/src/**'],
     rules: {
--- a/packages/cli/src/commands/daemon.ts
+++ b/packages/cli/src/commands/daemon.ts
@@ -6,8 +6,9 @@
 import { createEntry } from '@verbenashunt/entry';
 import { settingsSchema, validators, type Validator } from '@verbenashunt/schema';
 import {
-  envOf, flagOf, rangeOf, resolveSettings, type SettingsSchema,
-} from '../settings/resolve.js';
+  envOf, flagOf, rangeOf, type SettingsSchema,
+} from '../settings/names.js';
+import { resolveSettings } from '../settings/resolve.js';
 import { loadPems } from '../settings/pem.js';
 
 /** Exit code for a call that is wrong in its settings or arguments. */
--- a/packages/cli/src/settings/flags.ts
+++ b/packages/cli/src/settings/flags.ts
@@ -1,7 +1,7 @@
 /** Faults of a command line that the parser would report without the flag's range. */
 import type { Cli } from 'clipanion';
 import { SettingsError } from '@verbenashunt/core';
-import { envOf } from './resolve.js';
+import { envOf } from './names.js';
 
 type Definition = ReturnType<Cli['definitions']>[number];
 
--- a/packages/cli/src/settings/pem.ts
+++ b/packages/cli/src/settings/pem.ts
@@ -1,7 +1,7 @@
 /** Settings that hold certificates and keys: PEM text, or the path of a file with it. */
 import { readFile } from 'node:fs/promises';
 import { SettingsError } from '@verbenashunt/core';
-import { describeSetting } from './resolve.js';
+import { describeSetting } from './names.js';
 
 /** Settings that are given all together or not at all. */
 const groups = [['tlsCert', 'tlsKey'], ['peerTlsCert', 'peerTlsKey', 'peerTlsCa']] as const;
--- /dev/null
+++ b/scripts/docs.ts
@@ -0,0 +1,66 @@
+/**
+ * Writes the tables of settings and errors into the docs, between the marks of each table.
+ * With --check nothing is written; the exit code is 1 when a page is stale.
+ */
+import { readFile, writeFile } from 'node:fs/promises';
+import {
+  envOf, flagOf, rangeOf, type SettingsSchema,
+} from '../packages/cli/src/settings/names.js';
+import { refusals } from '../packages/core/src/errors/refusals.js';
+import settingsSchema from '../packages/schema/src/generated/settings-schema.js';
+
+const cell = (text: string) => text.replaceAll('|', '\\|');
+const row = (cells: string[]) => `| ${cells.map(cell).join(' | ')} |`;
+
+function table(head: string[], rows: string[][]): string {
+  return [row(head), row(head.map(() => '---')), ...rows.map(row)].join('\n');
+}
+
+function settingsTable({ properties, required = [] }: SettingsSchema): string {
+  const rows = Object.entries(properties).map(([name, schema]) => {
+    const isNeeded = required.includes(name) && schema.default === undefined;
+    const fallback = schema.default === undefined ? '' : `\`${schema.default}\``;
+    return [
+      `\`${flagOf(name)}\``, `\`${envOf(name)}\``, rangeOf(schema), isNeeded ? 'required' : fallback, schema.description ?? '',
+    ];
+  });
+  return table(['flag', 'variable', 'takes', 'default', 'what it is'], rows);
+}
+
+function refusalsTable(): string {
+  const rows = Object.entries(refusals).map(([code, info]) => {
+    const retryMs = 'retryAfterMs' in info ? `${Math.ceil(Number(info.retryAfterMs) / 1000)} s` : 'none';
+    return [`\`${code}\``, String(info.status), `\`${info.ran}\``, retryMs, info.message];
+  });
+  return table(['code', 'status', 'ran', 'Retry-After by default', 'message'], rows);
+}
+
+const pages: Record<string, Record<string, string>> = {
+  'docs/operators/settings.md': {
+    entry: settingsTable(settingsSchema.$defs.EntrySettings),
+    agent: settingsTable(settingsSchema.$defs.AgentSettings),
+  },
+  'docs/errors.md': { refusals: refusalsTable() },
+};
+
+function fill(page: string, tables: Record<string, string>): string {
+  return Object.entries(tables).reduce((text, [name, content]) => {
+    const start = `<!-- table:${name} -->\n`;
+    const end = `\n<!-- end:${name} -->`;
+    const from = text.indexOf(start) + start.length;
+    return text.slice(0, from) + content + text.slice(text.indexOf(end));
+  }, page);
+}
+
+const results = await Promise.all(Object.entries(pages).map(async ([file, tables]) => {
+  const current = await readFile(file, 'utf8');
+  return { file, current, filled: fill(current, tables) };
+}));
+const stale = results.filter(({ current, filled }) => current !== filled);
+
+if (process.argv.includes('--check')) {
+  stale.forEach(({ file }) => process.stderr.write(`stale: ${file}; run npm run generate\n`));
+  process.exitCode = stale.length > 0 ? 1 : 0;
+} else {
+  await Promise.all(stale.map(({ file, filled }) => writeFile(file, filled)));
+}
