Keep the survivors' KV caches when a stage is lost

Cause: a lost stage made every stage run prompt and answer again, a request had no timer for its deadline, and a frame lost on a broken connection ended the answer. Change: adopt and replay frames join survivors to a replacement; the last stage sends its tail again from a sequence number; stages honour the time left; stages that stand still are asked and replaced.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -76,6 +76,7 @@
   /* eslint-disable @typescript-eslint/no-use-before-define -- table and target know each other */
   const stages = createStageTable({
     ...common,
+    clock,
     loaded: () => loaded,
     run: (op) => engine?.run(op),
     forward: (hop, message) => links.send(hop, message),
@@ -145,6 +146,9 @@
     start: stages.start,
     step: stages.step,
     feed: stages.feed,
+    adopt: stages.adopt,
+    replay: stages.replay,
+    resume: stages.resume,
     call: calls.call,
     cancel: ({ req, attempt }, reply) => requests.cancel(req, attempt, reply),
     status: ({ req, attempt }, reply) => requests.status(req, attempt, reply),
--- a/packages/agent/src/stages/stage-table.ts
+++ b/packages/agent/src/stages/stage-table.ts
@@ -3,26 +3,22 @@
  * passes outputs to the next stage and tokens to the entry.
  */
 import QuickLru from 'quick-lru';
+import type { Clock } from '@verbenashunt/core';
 import type {
-  EngineOp, EngineOut, Fail, Feed, Hop, Load, LoadedModel, Message, Offer, Start, Step,
+  Adopt, EngineOp, EngineOut, Fail, Feed, Hop, Load, LoadedModel, Message, Offer, Replay, Resume,
+  Start, Step,
 } from '@verbenashunt/schema';
+import { refuseOffer } from './admission.js';
+import { createStageOutputs } from './outputs.js';
+import {
+  createKeptOutputs, createStage, isFirst, isLast, trimInput, type Stage, type StageInput,
+} from './stage.js';
 
 /** Requests whose fence is remembered after their end. */
 const maxFences = 100_000;
 
-interface Stage {
-  offer: Offer;
-  /** Next position to run. */
-  next: number;
-  /** Tokens sent to the entry; last stage only. */
-  produced: number;
-  started: boolean;
-  ended: boolean;
-  /** Sends to the entry that made the offer. */
-  reply: (message: Message) => void;
-}
-
 export interface StageDeps {
+  clock: Clock;
   incarnation: number;
   maxActive: number;
   revision(): number;
@@ -35,13 +31,17 @@
   count(event: StageEvent): void;
 }
 
-export type StageEvent = 'accepted' | 'refused' | 'completed' | 'failed' | 'dropped' | 'cancelled';
+export type StageEvent = 'accepted' | 'refused' | 'completed' | 'failed' | 'dropped' | 'cancelled' | 'adopted' | 'expired';
 
 export interface StageTable {
   offer(offer: Offer, reply: Stage['reply']): void;
   start(start: Start): void;
   step(step: Step): void;
   feed(feed: Feed): void;
+  adopt(adopt: Adopt, reply: Stage['reply']): void;
+  replay(replay: Replay): void;
+  /** Sends the tokens from a sequence number on again. */
+  resume(resume: Resume, reply: Stage['reply']): void;
   /** Fences attempts up to and including this one. */
   cancel(req: string, attempt: number, reply: Stage['reply']): void;
   status(req: string, attempt: number, reply: Stage['reply']): void;
@@ -53,34 +53,30 @@
   /** An entry is gone; its stages are freed. */
   entryLost(entry: string): void;
   readonly active: number;
+  /** Bytes of outputs kept for a recovery. */
+  readonly keptBytes: number;
   load(): Load;
 }
 
-const sequenceOf = ({ req, attempt }: { req: string; attempt: number }) => `${req}:${attempt}`;
-
 export function createStageTable(deps: StageDeps): StageTable {
   const stages = new Map<string, Stage>();
+  const bySequence = new Map<string, Stage>();
   const fences = new QuickLru<string, number>({ maxSize: maxFences });
+  const keptOutputs = createKeptOutputs();
 
   const load = (): Load => ({ active: stages.size, queued: 0, limit: deps.maxActive });
 
-  function refusalOf(offer: Offer): string | undefined {
-    if (offer.incarnation !== deps.incarnation) return 'old_incarnation';
-    if ((fences.get(offer.req) ?? -1) >= offer.attempt) return 'fenced';
-    if (!deps.admitting()) return 'draining';
-    if (offer.revision < deps.revision()) return 'stale_config';
-    const { model, version, range } = offer;
-    const held = deps.loaded().some((l) => l.model === model && l.version === version
-      && l.lo <= range.lo && l.hi >= range.hi);
-    if (!held) return 'not_loaded';
-    return stages.size >= deps.maxActive ? 'busy' : undefined;
-  }
+  const refusalOf = (offer: Offer) => refuseOffer(offer, {
+    ...deps, active: stages.size, fencedTo: fences.get(offer.req) ?? -1,
+  });
 
   function drop(stage: Stage) {
-    const { req, attempt } = stage.offer;
-    if (stages.get(req) !== stage) return;
-    stages.delete(req);
-    if (stage.started) deps.run({ op: 'cancel', seq: sequenceOf({ req, attempt }) });
+    if (stages.get(stage.offer.req) !== stage) return;
+    stages.delete(stage.offer.req);
+    bySequence.delete(stage.seq);
+    stage.cancelDeadline();
+    keptOutputs.release(stage);
+    if (stage.started) deps.run({ op: 'cancel', seq: stage.seq });
   }
 
   function fence(req: string, attempt: number) {
@@ -89,14 +85,18 @@
     if (stage && stage.offer.attempt <= attempt) drop(stage);
   }
 
-  function fail(stage: Stage, code: string, node?: string) {
+  function tellFailure(stage: Stage, code: string, node?: string) {
     const { req, attempt } = stage.offer;
     const message: Fail = {
       t: 'fail', req, attempt, code, ...(node === undefined ? {} : { node }),
     };
     stage.reply(message);
     deps.count('failed');
-    fence(req, attempt);
+  }
+
+  function fail(stage: Stage, code: string) {
+    tellFailure(stage, code);
+    fence(stage.offer.req, stage.offer.attempt);
   }
 
   function find({ req, attempt }: { req: string; attempt: number }): Stage | undefined {
@@ -106,54 +106,64 @@
     return undefined;
   }
 
-  /** Runs positions [pos, pos + count) when they are the next ones. */
-  function run(stage: Stage, pos: number, count: number, input: Pick<EngineOp, 'tokens' | 'hidden'>) {
-    if (pos < stage.next) {
-      deps.count('dropped');
+  /** Runs the part of an input from the next position on; each position runs once. */
+  function run(stage: Stage, pos: number, input: StageInput) {
+    if (pos > stage.next) {
+      // Two senders may overtake each other, by one input at the most.
+      if (stage.early && stage.early.pos !== pos) fail(stage, 'gap');
+      else Object.assign(stage, { early: { pos, input } });
       return;
     }
-    if (pos > stage.next) {
-      fail(stage, 'gap');
+    const fresh = trimInput(input, stage.next - pos);
+    if (!fresh) {
+      deps.count('dropped');
       return;
     }
-    Object.assign(stage, { next: pos + count, started: true });
-    const { model, range, priority } = stage.offer;
+    const at = stage.next;
+    const count = fresh.tokens?.length ?? fresh.hidden?.length ?? 0;
+    Object.assign(stage, { next: at + count, started: true });
+    const {
+      model, range, priority, promptTokens,
+    } = stage.offer;
+    stage.ends.set(at, stage.next);
+    stage.fed.push(...(fresh.tokens ?? []).slice(Math.max(0, promptTokens - at)));
     deps.run({
-      op: 'run', seq: sequenceOf(stage.offer), model, lo: range.lo, hi: range.hi, pos, priority, ...input,
+      op: 'run', seq: stage.seq, model, lo: range.lo, hi: range.hi, pos: at, priority, ...fresh,
     });
+    const { early } = stage;
+    Object.assign(stage, { early: undefined });
+    if (early) run(stage, early.pos, early.input);
   }
 
-  function finish(stage: Stage, reason: 'stop' | 'length') {
+  const outputs = createStageOutputs({
+    ...deps, load, run, fail,
+  });
+
+  function tellAdopted(stage: Stage, reply: Stage['reply']) {
     const { req, attempt } = stage.offer;
-    Object.assign(stage, { ended: true });
-    stage.reply({
-      t: 'end', req, attempt, count: stage.produced, reason, load: load(),
+    reply({
+      t: 'adopted',
+      req,
+      attempt,
+      pos: stage.next,
+      outputs: stage.outputs,
+      kept: isLast(stage) ? 0 : stage.kept.from,
+      offered: stage.offer.promptTokens,
+      fed: stage.fed,
     });
-    deps.count('completed');
   }
 
-  /** Passes a sampled token to the entry and, when the answer goes on, to the first stage. */
-  function emit(stage: Stage, token: number, stop: boolean) {
-    const { req, attempt, ...offer } = stage.offer;
-    stage.reply({
-      t: 'token', req, attempt, seq: stage.produced, token,
-    });
-    Object.assign(stage, { produced: stage.produced + 1 });
-    if (stop || stage.produced >= offer.maxTokens) {
-      finish(stage, stop ? 'stop' : 'length');
-      return;
-    }
-    const feed: Feed = {
-      t: 'feed', req, attempt, pos: stage.next, token,
-    };
-    if (offer.stages === 1) run(stage, feed.pos, 1, { tokens: [token] });
-    else deps.forward(offer.next, feed);
+  function expire(req: string, attempt: number) {
+    deps.count('expired');
+    fence(req, attempt);
   }
 
   return {
     offer(offer, reply) {
       const { req, attempt } = offer;
-      const code = refusalOf(offer);
+      const older = stages.get(req);
+      const known = older?.offer.attempt === attempt && offer.incarnation === deps.incarnation;
+      const code = known ? undefined : refusalOf(offer);
       if (code) {
         deps.count('refused');
         reply({
@@ -161,28 +171,65 @@
         });
         return;
       }
-      const older = stages.get(req);
-      if (older) drop(older);
-      stages.set(req, {
-        offer, next: 0, produced: 0, started: false, ended: false, reply,
-      });
-      deps.count('accepted');
+      if (!known) {
+        if (older) drop(older);
+        const stage = createStage(offer, reply, deps.clock.after(
+          offer.timeLeftMs,
+          () => expire(req, stage.offer.attempt),
+        ));
+        stages.set(req, stage);
+        bySequence.set(stage.seq, stage);
+        deps.count('accepted');
+      }
       reply({
         t: 'accept', req, attempt, load: load(),
       });
     },
     start(start) {
       const stage = find(start);
-      if (!stage || stage.offer.index !== 0) return;
-      run(stage, 0, start.tokens.length, { tokens: start.tokens });
+      if (stage && isFirst(stage)) run(stage, 0, { tokens: start.tokens });
     },
     step(step) {
       const stage = find(step);
-      if (stage) run(stage, step.pos, step.hidden.length, { hidden: step.hidden });
+      if (stage) run(stage, step.pos, { hidden: step.hidden });
+    },
+    feed(message) {
+      const stage = find(message);
+      if (stage) run(stage, message.pos, { tokens: [message.token] });
     },
-    feed(feed) {
-      const stage = find(feed);
-      if (stage) run(stage, feed.pos, 1, { tokens: [feed.token] });
+    adopt(adopt, reply) {
+      const { req, attempt, to } = adopt;
+      const stage = stages.get(req);
+      if (stage?.offer.attempt === attempt) {
+        Object.assign(stage, {
+          offer: { ...stage.offer, attempt: to, next: adopt.next },
+          held: true,
+          early: undefined,
+          reply,
+        });
+        fence(req, attempt);
+        deps.count('adopted');
+      }
+      if (stage?.offer.attempt === to) tellAdopted(stage, reply);
+      else {
+        reply({
+          t: 'refuse', req, attempt: to, code: 'absent', load: load(),
+        });
+      }
+    },
+    replay(replay) {
+      const stage = find(replay);
+      if (!stage) return;
+      Object.assign(stage, { held: false });
+      outputs.replay(stage, replay.from);
+    },
+    resume(resume, reply) {
+      const stage = find(resume);
+      if (!stage) {
+        reply({
+          t: 'fail', req: resume.req, attempt: resume.attempt, code: 'absent',
+        });
+      } else outputs.resume(stage, resume.seq);
     },
     cancel(req, attempt, reply) {
       const ran = stages.get(req)?.started ?? false;
@@ -198,20 +245,31 @@
       const held = stage?.started ? 'running' : 'accepted';
       const live = stage?.offer.attempt === attempt ? held : 'absent';
       reply({
-        t: 'statusReply', req, attempt, state: fenced ? 'fenced' : live,
+        t: 'statusReply',
+        req,
+        attempt,
+        state: fenced ? 'fenced' : live,
+        ...(live === 'absent' ? {} : { pos: stage!.next, outputs: stage!.outputs }),
       });
     },
     output(out) {
-      const at = out.seq.lastIndexOf(':');
-      const stage = find({ req: out.seq.slice(0, at), attempt: Number(out.seq.slice(at + 1)) });
-      if (!stage) return;
-      const { req, attempt, next } = stage.offer;
+      const stage = bySequence.get(out.seq);
+      const { pos = 0, hidden = [] } = out;
+      const end = stage?.ends.get(pos);
+      if (!stage || (end === undefined && !out.error)) {
+        deps.count('dropped');
+        return;
+      }
+      stage.ends.delete(pos);
+      stage.outputs = end ?? stage.outputs;
       if (out.error) fail(stage, out.error);
-      else if (out.token !== undefined) emit(stage, out.token, out.stop ?? false);
-      else {
-        deps.forward(next, {
-          t: 'step', req, attempt, pos: out.pos ?? 0, hidden: out.hidden ?? [],
-        });
+      else if (out.token !== undefined) {
+        // An output before the end of the prompt is of one part of it.
+        const sampled = stage.outputs >= stage.offer.promptTokens;
+        if (sampled) outputs.emit(stage, out.token, out.stop ?? false);
+      } else {
+        keptOutputs.keep(stage, hidden);
+        if (!stage.held) outputs.forward(stage, pos, hidden);
       }
     },
     engineLost() {
@@ -219,7 +277,11 @@
     },
     hopLost(node) {
       [...stages.values()].filter(({ offer, ended }) => offer.next.node === node && !ended)
-        .forEach((stage) => fail(stage, 'hop_lost', node));
+        .forEach((stage) => {
+          // The stage keeps its KV cache; the entry joins it to another hop or cancels it.
+          Object.assign(stage, { held: true });
+          tellFailure(stage, 'hop_lost', node);
+        });
     },
     entryLost(entry) {
       [...stages.values()].filter(({ offer }) => offer.entry === entry)
@@ -228,6 +290,9 @@
     get active() {
       return stages.size;
     },
+    get keptBytes() {
+      return keptOutputs.bytes;
+    },
     load,
   };
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -10,3 +10,4 @@
 export * from './ledger/admission.js';
 export * from './ledger/call-ledger.js';
 export * from './retry/budget.js';
+export * from './retry/repair.js';
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -2,7 +2,7 @@
 import Emittery from 'emittery';
 import type { Logger } from 'pino';
 import {
-  chooseChain, createConfigHolder, SystemClock, type Clock,
+  chooseChain, chooseStage, createConfigHolder, SystemClock, type Clock,
 } from '@verbenashunt/core';
 import type { EntrySettings, Hello, Message } from '@verbenashunt/schema';
 import { createPlatformClient, protocolVersion, type Connection } from '@verbenashunt/wire';
@@ -171,6 +171,10 @@
         candidates: peers.candidates(model, version).filter(({ node }) => !avoid.has(node)),
         linkMs: (from, to) => linkMs(from?.zone ?? cfg.zone, from?.region ?? cfg.region, to),
       }),
+      replace: ({ model, version }, range, avoid) => chooseStage(
+        peers.candidates(model, version).filter(({ node }) => !avoid.has(node)),
+        range,
+      ),
     })),
     call: (spec, targets, sink) => register(spec.req, (closed) => createServiceCall(spec, sink, {
       ...shared,
--- a/packages/entry/src/requests/generation.ts
+++ b/packages/entry/src/requests/generation.ts
@@ -1,88 +1,80 @@
 /**
  * One generation: offers a chain, starts it when all stages accepted, delivers each token once
- * and in order, and goes on with another chain when a stage is lost.
+ * and in order. When a stage is lost the survivors keep their KV caches and a replacement is
+ * brought to their position; where that cannot be, another chain takes the tokens over as prompt.
  */
 import {
-  createRefusal, type Chain, type CancelTimer, type Clock, type Refusal, type RefusalCode,
+  createRefusal, knownTokens, planRepair, type RefusalCode, type RepairQuery,
 } from '@verbenashunt/core';
-import type { Offer } from '@verbenashunt/schema';
+import type { Message } from '@verbenashunt/schema';
 import type { AgentPeer } from '../peers/agents.js';
-import type { RequestRun } from './registry.js';
-
-const offerTimeoutMs = 1000;
-const maxAttempts = 5;
-
-export interface GenerationSpec {
-  req: string;
-  org: string;
-  cls: string;
-  model: string;
-  version: string;
-  layers: number;
-  prompt: number[];
-  maxTokens: number;
-  priority: number;
-  /** Monotonic milliseconds. */
-  deadline: number;
-}
-
-export interface GenerationSink {
-  token(token: number): void;
-  end(reason: 'stop' | 'length'): void;
-  refuse(refusal: Refusal): void;
-}
-
-export interface GenerationDeps {
-  clock: Clock;
-  entry: string;
-  revision(): number;
-  /** Chooses a chain that avoids the nodes given. */
-  choose(spec: GenerationSpec, avoid: ReadonlySet<string>): Chain | undefined;
-  agent(node: string): AgentPeer | undefined;
-  /** The generation is over; no further frame will be heard. */
-  closed(): void;
-}
+import {
+  adoptOf, frameOf, freshReport, isFresh, isReady, offerOf, type Attempt, type AttemptStage,
+} from './attempt.js';
+import type {
+  Generation, GenerationDeps, GenerationSink, GenerationSpec,
+} from './generation-spec.js';
+import { createStallDetector } from './stall.js';
 
-export type Generation = RequestRun;
+export type * from './generation-spec.js';
 
-interface Attempt {
-  number: number;
-  nodes: string[];
-  accepted: Set<string>;
-  started: boolean;
-  /** Tokens received in this attempt. */
-  received: number;
-  cancelTimer: CancelTimer;
-}
+const offerTimeoutMs = 1000;
+const maxAttempts = 8;
+/** Time without a token after which the stages are asked, and between two questions. */
+const probeMs = 300;
+/** A probe that fires this late tells of this process's own stall. */
+const ownStallMs = 100;
 
 export function createGeneration(
   spec: GenerationSpec,
   sink: GenerationSink,
   deps: GenerationDeps,
 ): Generation {
+  const { req } = spec;
   const delivered: number[] = [];
   const avoid = new Set<string>();
+  /** Hops that broke once and were joined again. */
+  const rejoined = new Set<string>();
+  const stall = createStallDetector();
   let attempt: Attempt | undefined;
   let attempts = 0;
   let ran = false;
   let over = false;
+  let tokenAt = 0;
+  let cancelProbe = () => {};
+  let cancelDeadline = () => {};
 
   const timeLeft = () => spec.deadline - deps.clock.now();
+  const nodesOf = ({ stages }: Attempt) => stages.map(({ node }) => node);
+
+  function send(stage: AttemptStage, message: Message) {
+    stage.sent.push(message);
+    deps.agent(stage.node)?.send(message);
+  }
+
+  function hold(node: string, change: 1 | -1) {
+    const peer = deps.agent(node);
+    if (peer) Object.assign(peer, { own: Math.max(0, peer.own + change) });
+  }
+
+  /** Fences the attempt on some of its stages, which also frees them. */
+  function releaseNodes(nodes: readonly string[], number: number) {
+    nodes.forEach((node) => {
+      hold(node, -1);
+      deps.agent(node)?.send({ t: 'cancel', req, attempt: number });
+    });
+  }
 
-  /** Fences the attempt on all of its stages, which also frees them. */
   function release() {
     if (!attempt) return;
-    const { nodes, number } = attempt;
     attempt.cancelTimer();
+    releaseNodes(nodesOf(attempt), attempt.number);
     attempt = undefined;
-    nodes.map(deps.agent).forEach((peer) => {
-      if (!peer) return;
-      Object.assign(peer, { own: Math.max(0, peer.own - 1) });
-      peer.send({ t: 'cancel', req: spec.req, attempt: number });
-    });
   }
 
   function close() {
+    cancelProbe();
+    cancelDeadline();
     release();
     over = true;
     deps.closed();
@@ -90,128 +82,257 @@
 
   function refuse(code: RefusalCode) {
     close();
-    sink.refuse(createRefusal(ran ? 'interrupted' : code, {
+    const told = ran && code !== 'quarantined' ? 'interrupted' : code;
+    sink.refuse(createRefusal(told, {
       ...(delivered.length > 0 ? { detail: `after ${delivered.length} tokens` } : {}),
+      ...(ran ? { ran: 'unknown' } : {}),
     }));
   }
 
-  function offerOf(peers: AgentPeer[], chain: Chain, index: number, number: number): Offer {
-    const next = peers[(index + 1) % peers.length]!;
-    const { lo, hi } = chain.stages[index]!;
-    return {
-      t: 'offer',
-      req: spec.req,
-      attempt: number,
-      incarnation: peers[index]!.incarnation,
-      revision: deps.revision(),
-      org: spec.org,
-      cls: spec.cls,
-      model: spec.model,
-      version: spec.version,
-      range: { lo, hi },
-      index,
-      stages: peers.length,
-      next: {
-        node: next.node, host: next.host, port: next.port, incarnation: next.incarnation,
-      },
-      entry: deps.entry,
-      timeLeftMs: Math.max(0, timeLeft()),
-      priority: spec.priority,
-      maxTokens: spec.maxTokens - delivered.length,
-      promptTokens: spec.prompt.length + delivered.length,
-    };
+  function peersOf(stages: readonly { node: string }[]): AgentPeer[] | undefined {
+    const peers = stages.flatMap(({ node }) => deps.agent(node) ?? []);
+    return peers.length === stages.length ? peers : undefined;
   }
 
-  /* eslint-disable @typescript-eslint/no-use-before-define -- a failure begins the next try */
-  function retry(code: RefusalCode, blamed: string | undefined) {
-    release();
-    if (blamed) avoid.add(blamed);
-    if (attempts >= maxAttempts) refuse(code);
-    else begin(code);
+  function offer(current: Attempt, peers: readonly AgentPeer[], index: number, known: number) {
+    const stage = current.stages[index]!;
+    hold(stage.node, 1);
+    send(stage, offerOf(current, peers, index, {
+      spec, entry: deps.entry, revision: deps.revision(), timeLeftMs: timeLeft(), known,
+    }));
   }
-  /* eslint-enable @typescript-eslint/no-use-before-define */
 
-  function silent(current: Attempt) {
-    if (attempt !== current) return;
-    const blamed = current.nodes.find((node) => !current.accepted.has(node));
-    retry('no_chain', blamed);
+  /* eslint-disable @typescript-eslint/no-use-before-define -- a failure begins the next try */
+  function nextAttempt(stages: AttemptStage[], base: number): Attempt {
+    const current: Attempt = {
+      number: attempts,
+      stages,
+      base,
+      started: false,
+      startedAt: deps.clock.now(),
+      cancelTimer: deps.clock.after(offerTimeoutMs, () => unanswered(current)),
+    };
+    attempts += 1;
+    attempt = current;
+    stall.reset();
+    return current;
   }
+  /* eslint-enable @typescript-eslint/no-use-before-define */
 
   function begin(code: RefusalCode) {
-    if (timeLeft() <= 0) {
-      refuse('deadline');
+    const chain = deps.choose(spec, avoid);
+    const peers = chain && peersOf(chain.stages);
+    if (!chain || !peers) {
+      refuse(code);
       return;
     }
-    const chain = deps.choose(spec, avoid);
-    const peers = chain?.stages.map(({ node }) => deps.agent(node)) ?? [];
-    const present = peers.filter((peer) => peer !== undefined);
-    if (!chain || present.length < peers.length) {
+    const stages = chain.stages.map((stage): AttemptStage => ({
+      ...stage, replaced: true, sent: [],
+    }));
+    const current = nextAttempt(stages, delivered.length);
+    stages.forEach((_, index) => offer(current, peers, index, delivered.length));
+  }
+
+  /** Goes on with another chain, whose prompt holds the tokens delivered. */
+  function restart(code: RefusalCode, charged: boolean) {
+    release();
+    if (attempts >= maxAttempts || (charged && !deps.retries.withdraw())) {
       refuse(code);
       return;
     }
-    const number = attempts;
-    attempts += 1;
-    const current: Attempt = {
-      number,
-      nodes: present.map(({ node }) => node),
-      accepted: new Set(),
-      started: false,
-      received: 0,
-      cancelTimer: deps.clock.after(offerTimeoutMs, () => silent(current)),
-    };
-    attempt = current;
-    present.forEach((peer, index) => {
-      Object.assign(peer, { own: peer.own + 1 });
-      peer.send(offerOf(present, chain, index, number));
-    });
+    if (ran) deps.recovered?.('restart');
+    begin(code);
   }
 
-  function accepted(current: Attempt, node: string) {
-    current.accepted.add(node);
-    if (current.started || current.accepted.size < current.nodes.length) return;
-    current.cancelTimer();
-    Object.assign(current, { started: true });
-    ran = true;
-    deps.agent(current.nodes[0]!)?.send({
-      t: 'start', req: spec.req, attempt: current.number, tokens: [...spec.prompt, ...delivered],
+  function replacements(current: Attempt, lost: ReadonlySet<string>): AttemptStage[] | undefined {
+    const taken = new Set([...avoid, ...nodesOf(current)]);
+    const stages = current.stages.flatMap(({ node, lo, hi }): AttemptStage[] => {
+      const stage = { lo, hi, sent: [] };
+      if (!lost.has(node)) return [{ ...stage, node, replaced: false }];
+      const other = deps.replace(spec, { lo, hi }, taken);
+      if (other === undefined) return [];
+      taken.add(other);
+      return [{ ...stage, node: other, replaced: true }];
     });
+    return stages.length === current.stages.length ? stages : undefined;
   }
 
-  function token(current: Attempt, seq: number, value: number) {
-    if (seq < current.received) return;
-    if (seq > current.received) {
-      retry('interrupted', undefined);
+  /** Puts other targets in the place of the lost ones and joins the survivors to them. */
+  function repair(lost: ReadonlySet<string>) {
+    const old = attempt!;
+    const stages = replacements(old, lost);
+    const peers = stages && peersOf(stages);
+    const survivors = stages?.some(({ replaced }) => !replaced) && old.stages.length > 1;
+    if (!stages || !peers || !survivors || attempts >= maxAttempts) {
+      restart('interrupted', false);
       return;
     }
-    Object.assign(current, { received: seq + 1 });
+    old.cancelTimer();
+    releaseNodes([...lost], old.number);
+    deps.recovered?.('repair');
+    const current = nextAttempt(stages, old.base);
+    stages.forEach((stage, index) => {
+      if (!stage.replaced) send(stage, adoptOf(current, old.number, peers, index, req));
+      // The last stage is offered once it is known from which position on it samples.
+      else if (index < stages.length - 1) offer(current, peers, index, delivered.length);
+    });
+  }
+
+  /** Some stages of the attempt are gone. */
+  function fault(lost: readonly string[], code: RefusalCode = 'interrupted') {
+    if (!attempt) return;
+    lost.forEach((node) => avoid.add(node));
+    if (isFresh(attempt) && !attempt.started) restart(code, true);
+    else repair(new Set(lost));
+  }
+
+  function unanswered(current: Attempt) {
+    if (attempt !== current || current.started) return;
+    fault(current.stages.filter(({ report }) => !report).map(({ node }) => node), 'no_chain');
+  }
+
+  function deliver(value: number) {
+    tokenAt = deps.clock.now();
     delivered.push(value);
     sink.token(value);
   }
 
+  function queryOf({ stages }: Attempt): RepairQuery {
+    return { stages: stages.map(({ report }) => report!), prompt: spec.prompt, delivered };
+  }
+
+  function resumeAt(current: Attempt) {
+    const last = current.stages.at(-1)!;
+    deps.agent(last.node)?.send({
+      t: 'resume', req, attempt: current.number, seq: delivered.length - current.base,
+    });
+  }
+
+  /** Every stage is in place: sets the answer going. */
+  function start(current: Attempt) {
+    const query = queryOf(current);
+    const commands = planRepair(query);
+    if (!commands) {
+      restart('interrupted', false);
+      return;
+    }
+    current.cancelTimer();
+    const last = current.stages.at(-1)!;
+    knownTokens(query).slice(delivered.length).forEach(deliver);
+    Object.assign(current, {
+      started: true, ...(last.replaced ? { base: delivered.length } : {}),
+    });
+    ran = true;
+    tokenAt = deps.clock.now();
+    commands.forEach((command) => send(
+      current.stages[command.to]!,
+      frameOf(command, req, current.number),
+    ));
+    if (!last.replaced) resumeAt(current);
+  }
+
+  function ready(current: Attempt, node: string, report: AttemptStage['report']) {
+    const stage = current.stages.find((other) => other.node === node);
+    if (!stage || stage.report || current.started) return;
+    Object.assign(stage, { report });
+    const last = current.stages.at(-1)!;
+    const others = current.stages.slice(0, -1);
+    if (isReady(current)) start(current);
+    else if (last.sent.length === 0 && others.every((other) => other.report)) {
+      Object.assign(last, { report: freshReport() });
+      const known = knownTokens(queryOf(current)).length;
+      delete last.report;
+      const peers = peersOf(current.stages);
+      if (peers) offer(current, peers, current.stages.length - 1, known);
+    }
+  }
+
+  function token(current: Attempt, seq: number, value: number) {
+    const index = current.base + seq;
+    if (index === delivered.length) deliver(value);
+    else if (index > delivered.length) resumeAt(current);
+  }
+
   function ended(current: Attempt, count: number, reason: 'stop' | 'length') {
-    if (count !== current.received) {
-      retry('interrupted', undefined);
+    if (current.base + count !== delivered.length) {
+      resumeAt(current);
       return;
     }
     close();
     sink.end(reason);
   }
 
+  /** A hop that broke between two living agents is joined again once, then replaced. */
+  function hopLost(node: string) {
+    if (deps.agent(node) && !rejoined.has(node)) {
+      rejoined.add(node);
+      repair(new Set());
+    } else fault([node]);
+  }
+
+  function failed(node: string, message: Extract<Message, { t: 'fail' }>) {
+    const crashed = message.code === 'target_lost' && ran;
+    if (crashed && deps.crashed?.(spec, node) === false) refuse('quarantined');
+    else if (message.code === 'hop_lost' && message.node) hopLost(message.node);
+    else fault([node]);
+  }
+
+  function refused(node: string, code: string) {
+    fault([node], code === 'busy' ? 'overloaded' : 'no_chain');
+  }
+
+  function probe() {
+    const due = deps.clock.now() + probeMs;
+    cancelProbe = deps.clock.after(probeMs, () => {
+      const late = deps.clock.now() - due > ownStallMs;
+      if (!attempt?.started || deps.clock.now() - tokenAt < probeMs || late) {
+        stall.reset();
+      } else {
+        const current = attempt;
+        const lost = new Set(stall.judge(nodesOf(current)));
+        // Without a replacement the answer is better served by waiting.
+        if (lost.size > 0 && replacements(current, lost)) fault([...lost]);
+        else {
+          nodesOf(current).forEach((node) => deps.agent(node)?.send({
+            t: 'status', req, attempt: current.number,
+          }));
+        }
+      }
+      if (!over) probe();
+    });
+  }
+
+  cancelDeadline = deps.clock.after(Math.max(0, timeLeft()), () => refuse('deadline'));
+  probe();
+  deps.retries.deposit();
   begin('no_chain');
+
+  function receive(current: Attempt, node: string, message: Message) {
+    const isLast = node === current.stages.at(-1)!.node;
+    if (message.t === 'token' && isLast) token(current, message.seq, message.token);
+    else if (message.t === 'accept') ready(current, node, freshReport());
+    else if (message.t === 'adopted') ready(current, node, { ...message, replaced: false });
+    else if (message.t === 'end' && isLast) ended(current, message.count, message.reason);
+    else if (message.t === 'refuse') refused(node, message.code);
+    else if (message.t === 'fail') failed(node, message);
+    else if (message.t === 'statusReply') stall.reply(node, message);
+  }
+
   return {
     receive(node, message) {
-      if (over || !attempt || !('attempt' in message) || message.attempt !== attempt.number) return;
-      const last = attempt.nodes.at(-1);
-      if (message.t === 'accept') accepted(attempt, node);
-      else if (message.t === 'refuse') retry(message.code === 'busy' ? 'overloaded' : 'no_chain', node);
-      else if (message.t === 'token' && node === last) token(attempt, message.seq, message.token);
-      else if (message.t === 'end' && node === last) ended(attempt, message.count, message.reason);
-      else if (message.t === 'fail') retry('interrupted', message.node ?? node);
+      if (over || !attempt || !('attempt' in message)) return;
+      const mine = message.attempt === attempt.number && nodesOf(attempt).includes(node);
+      if (mine) receive(attempt, node, message);
     },
     lost(node) {
-      if (!over && attempt?.nodes.includes(node)) retry('interrupted', node);
+      if (!over && attempt && nodesOf(attempt).includes(node)) fault([node]);
+    },
+    resumed(node) {
+      const stage = attempt?.stages.find((other) => other.node === node);
+      if (over || !attempt || !stage) return;
+      stage.sent.forEach((message) => deps.agent(node)?.send(message));
+      if (attempt.started && stage === attempt.stages.at(-1)) resumeAt(attempt);
     },
-    resumed() {},
     cancel() {
       if (!over) close();
     },
