--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -11,3 +11,5 @@
 export * from './ledger/call-ledger.js';
 export * from './retry/budget.js';
 export * from './retry/repair.js';
+export * from './membership/detector.js';
+export * from './membership/stall.js';
--- a/packages/entry/src/requests/generation.ts
+++ b/packages/entry/src/requests/generation.ts
@@ -20,6 +20,7 @@
 
 const offerTimeoutMs = 1000;
 const maxAttempts = 8;
+const maxRejoins = 3;
 /** Time without a token after which the stages are asked, and between two questions. */
 const probeMs = 300;
 /** A probe that fires this late tells of this process's own stall. */
@@ -33,8 +34,8 @@
   const { req } = spec;
   const delivered: number[] = [];
   const avoid = new Set<string>();
-  /** Hops that broke once and were joined again. */
-  const rejoined = new Set<string>();
+  /** How often each broken hop was joined again. */
+  const rejoined = new Map<string, number>();
   const stall = createStallDetector();
   let attempt: Attempt | undefined;
   let attempts = 0;
@@ -262,10 +263,11 @@
     sink.end(reason);
   }
 
-  /** A hop that broke between two living agents is joined again once, then replaced. */
+  /** A hop that broke between two living agents is joined again a few times, then replaced. */
   function hopLost(node: string) {
-    if (deps.agent(node) && !rejoined.has(node)) {
-      rejoined.add(node);
+    const times = rejoined.get(node) ?? 0;
+    if (deps.agent(node) && times < maxRejoins) {
+      rejoined.set(node, times + 1);
       repair(new Set());
     } else fault([node]);
   }
