--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -18,6 +18,7 @@
 import { createEntryMetrics } from './metrics.js';
 import { createAgentPeers, type AgentPeer } from './peers/agents.js';
 import { createCallRecords } from './requests/call-records.js';
+import { createFences } from './requests/fences.js';
 import { createGeneration } from './requests/generation.js';
 import { createRequestRegistry, type RequestRun } from './requests/registry.js';
 import { createEntryRetries } from './requests/retries.js';
@@ -56,6 +57,7 @@
   const store = createConfigStore(platform);
   const records = createCallRecords(platform);
   const retries = createEntryRetries(clock);
+  const fences = createFences(clock);
   const requestTimeoutMs = cfg.requestTimeoutMs ?? 60_000;
   let stopping = false;
   let sequence = 0;
@@ -109,7 +111,10 @@
     onMessage: receive,
     onOpen: levelConfig,
     onLost: registry.lost,
-    onResumed: registry.resumed,
+    onResumed(node) {
+      registry.resumed(node);
+      fences.resumed(node, peers.get(node)?.send);
+    },
   });
 
   async function pollVms() {
@@ -149,7 +154,15 @@
   }
 
   const shared = {
-    clock, random, retries, entry: cfg.node, revision: () => config.revision, agent: peers.get,
+    clock,
+    random,
+    retries,
+    fence(node: string, req: string, attempt: number) {
+      fences.send(node, { t: 'cancel', req, attempt }, peers.get(node)?.send);
+    },
+    entry: cfg.node,
+    revision: () => config.revision,
+    agent: peers.get,
   };
 
   function pickTarget(
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -4,3 +4,5 @@
 export * from './requests/service-call.js';
 export * from './requests/registry.js';
 export * from './config/store.js';
+export * from './requests/fences.js';
+export type { AgentPeer } from './peers/agents.js';
--- a/packages/entry/src/requests/generation-spec.ts
+++ b/packages/entry/src/requests/generation-spec.ts
@@ -42,6 +42,8 @@
     avoid: ReadonlySet<string>,
   ): string | undefined;
   agent(node: string): AgentPeer | undefined;
+  /** Fences a request's attempts up to this one at a node, which also frees them there. */
+  fence(node: string, req: string, attempt: number): void;
   /** A failure was answered in this way. */
   recovered?(way: RecoveryWay): void;
   /** The target of a node crashed while it ran this request; false gives the request up. */
--- a/packages/entry/src/requests/generation.ts
+++ b/packages/entry/src/requests/generation.ts
@@ -62,7 +62,7 @@
   function releaseNodes(nodes: readonly string[], number: number) {
     nodes.forEach((node) => {
       hold(node, -1);
-      deps.agent(node)?.send({ t: 'cancel', req, attempt: number });
+      deps.fence(node, req, number);
     });
   }
 
@@ -158,6 +158,10 @@
     return stages.length === current.stages.length ? stages : undefined;
   }
 
+  const canGoOn = (current: Attempt, lost: ReadonlySet<string>) => Boolean(
+    replacements(current, lost) ?? deps.choose(spec, new Set([...avoid, ...lost])),
+  );
+
   /** Puts other targets in the place of the lost ones and joins the survivors to them. */
   function repair(lost: ReadonlySet<string>) {
     const old = attempt!;
@@ -292,8 +296,8 @@
       } else {
         const current = attempt;
         const lost = new Set(stall.judge(nodesOf(current)));
-        // Without a replacement the answer is better served by waiting.
-        if (lost.size > 0 && replacements(current, lost)) fault([...lost]);
+        // Where nothing else serves the layers the answer is better served by waiting.
+        if (lost.size > 0 && canGoOn(current, lost)) fault([...lost]);
         else {
           nodesOf(current).forEach((node) => deps.agent(node)?.send({
             t: 'status', req, attempt: current.number,
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,6 +1,7 @@
 /** Stand-ins of the systems outside the router, for tests, the demo and the benches. */
 export * from './engine/engine.js';
 export * from './engine/model.js';
+export * from './engine/sequences.js';
 export * from './service/service.js';
 export * from './platform/platform.js';
 export type { StandIn } from './http/server.js';
