--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,3 +22,4 @@
 export * from './retry/budget.js';
 export * from './membership/subset.js';
 export * from './membership/directory.js';
+export * from './retry/repair.js';
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -6,3 +6,4 @@
 export * from './config/store.js';
 export * from './peers/agents.js';
 export * from './config/spread.js';
+export * from './requests/fences.js';
