--- a/packages/core/src/admission/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -30,6 +30,8 @@
   submit(work: AdmissionWork): void;
   /** Starts what has room now and refuses what can no longer be done in time. */
   drain(): void;
+  /** Queues work again that was started and then found no room; it is not charged twice. */
+  putBack(work: AdmissionWork): void;
   /** Takes back work that still waits; returns whether it did. */
   withdraw(work: AdmissionWork): boolean;
   /** Says what started work cost in the end. */
@@ -92,6 +94,11 @@
       if (evicted) refuseOverloaded(evicted);
     },
     drain,
+    putBack(work) {
+      queue.settle(work.org, -work.cost);
+      if (work.deadline <= options.now()) work.refuse(createRefusal('deadline'));
+      else queue.push(work, work.weight);
+    },
     withdraw: (work) => queue.remove((other) => other === work).length > 0,
     settle: (work, actualCost) => queue.settle(work.org, actualCost - work.cost),
   };
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -6,3 +6,4 @@
 export type { StandIn } from './http/server.js';
 export * from './demo/processes.js';
 export * from './demo/whole-path.js';
+export * from './load/model/index.js';
--- /dev/null
+++ b/packages/stand-ins/src/load/model/index.ts
@@ -0,0 +1,8 @@
+/** The decisions of the router on a model of the engines, in virtual time. */
+export * from './event-loop.js';
+export * from './fleets.js';
+export * from './policies.js';
+export * from './random.js';
+export * from './results.js';
+export * from './run.js';
+export * from './spec.js';
