--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -2,7 +2,7 @@
 import Emittery from 'emittery';
 import type { Logger } from 'pino';
 import {
-  chooseChain, createConfigHolder, createLeveller, SystemClock, type Clock,
+  chooseChain, chooseStage, createConfigHolder, createLeveller, SystemClock, type Clock,
 } from '@verbenashunt/core';
 import type { EntrySettings, Hello, Message } from '@verbenashunt/schema';
 import {
@@ -19,6 +19,7 @@
 import { createEntryMetrics } from './metrics.js';
 import { createAgentPeers, type AgentPeer } from './peers/agents.js';
 import { createCallRecords } from './requests/call-records.js';
+import { createFences } from './requests/fences.js';
 import { createGeneration } from './requests/generation.js';
 import { createRequestRegistry, type RequestRun } from './requests/registry.js';
 import { createEntryRetries } from './requests/retries.js';
@@ -57,6 +58,7 @@
   const platform = createPlatformClient(cfg.platformUrl);
   const records = createCallRecords(platform);
   const retries = createEntryRetries(clock);
+  const fences = createFences(clock);
   const requestTimeoutMs = cfg.requestTimeoutMs ?? 60_000;
   let stopping = false;
   let sequence = 0;
@@ -105,7 +107,10 @@
     onMessage: receive,
     onOpen: ({ peer, send }) => leveller.heard(peer.revision, send),
     onLost: registry.lost,
-    onResumed: registry.resumed,
+    onResumed(node) {
+      registry.resumed(node);
+      fences.resumed(node, peers.get(node)?.send);
+    },
   });
 
   async function pollVms() {
@@ -137,7 +142,15 @@
   }
 
   const shared = {
-    clock, random, retries, entry: cfg.node, revision: () => config.revision, agent: peers.get,
+    clock,
+    random,
+    retries,
+    fence(node: string, req: string, attempt: number) {
+      fences.send(node, { t: 'cancel', req, attempt }, peers.get(node)?.send);
+    },
+    entry: cfg.node,
+    revision: () => config.revision,
+    agent: peers.get,
   };
 
   function pickTarget(
@@ -174,6 +187,10 @@
         candidates: peers.candidates(model, version).filter(({ node }) => !avoid.has(node)),
         linkMs: (from, to) => linkMs(from?.zone ?? cfg.zone, from?.region ?? cfg.region, to),
       }),
+      replace: ({ model, version }, range, avoid) => chooseStage(
+        peers.candidates(model, version).filter(({ node }) => !avoid.has(node)),
+        range,
+      ),
     })),
     call: (spec, targets, sink) => register(spec.req, (closed) => createServiceCall(spec, sink, {
       ...shared,
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -7,3 +7,4 @@
 export * from './label-pairs.js';
 export * from './peers/agents.js';
 export * from './config/spread.js';
+export * from './requests/fences.js';
