Void what an entry began before it gave an agent up

Cause, found by the real-process test "frozen while draining": an agent that was frozen, given up by its entry and then woke, kept the entry's stages for ever. The entry's cancels had nowhere to go while it held the agent for lost, and the same entry incarnation connected again, so the grace for lost entries never ran out; the agent's drain waited its full 120 s.

Change: the dialling side counts how often it gave the peer up and says so in its hello (session); the agent frees what an earlier session began.

--- a/packages/agent/src/peers/entries.ts
+++ b/packages/agent/src/peers/entries.ts
@@ -17,13 +17,18 @@
 
 export interface EntryPeersDeps {
   clock: Clock;
-  /** The entry did not come back in time, or came back as another process. */
+  /**
+   * What the entry began is void: it did not come back in time, it came back as another process,
+   * or it had given up this agent.
+   */
   onLost(entry: string): void;
   onProtocolError(): void;
 }
 
 interface EntryPeer {
   incarnation: number;
+  /** How often the entry has given up this agent. */
+  session: number;
   /** Open connections, the newest last. */
   connections: Connection[];
 }
@@ -47,10 +52,12 @@
       (newest(connection.peer.node) ?? connection).send(message);
     },
     opened(connection) {
-      const { role, node, incarnation } = connection.peer;
+      const {
+        role, node, incarnation, session = 0,
+      } = connection.peer;
       if (role !== 'entry') return;
       const peer = entries.get(node);
-      if (peer?.incarnation === incarnation) {
+      if (peer?.incarnation === incarnation && peer.session === session) {
         peer.connections.push(connection);
         return;
       }
@@ -58,7 +65,7 @@
         connection.close(new ProtocolError('an older incarnation of an entry', { props: { code: 'old_incarnation' } }));
         return;
       }
-      entries.set(node, { incarnation, connections: [connection] });
+      entries.set(node, { incarnation, session, connections: [connection] });
       if (!peer) return;
       deps.onLost(node);
       peer.connections.forEach((old) => old.close());
--- a/packages/wire/src/dial.ts
+++ b/packages/wire/src/dial.ts
@@ -71,6 +71,7 @@
   let suspectedAt: number | undefined;
   let stopped = false;
   let retryMs = minRetryMs;
+  let session = 0;
   let cancelRetry: CancelTimer = () => {};
   let cancelGrace: CancelTimer = () => {};
 
@@ -82,6 +83,7 @@
     if (!known) return;
     const gone = known;
     const open = live;
+    session += 1;
     known = undefined;
     live = undefined;
     suspectedAt = undefined;
@@ -168,7 +170,7 @@
     const socket = connect({ host: options.host, port: options.port });
     trial = createConnection(socket, {
       clock,
-      hello: options.hello,
+      hello: () => ({ ...options.hello(), session }),
       helloTimeoutMs,
       reject,
       handlers: {
--- /dev/null
+++ b/test/membership/leaving.test.ts
@@ -0,0 +1,148 @@
+/** A leaving target gets no new work, with real processes: list, SIGTERM, freeze and kill. */
+import { fileURLToPath } from 'node:url';
+import { afterEach, expect, test } from 'vitest';
+import { request } from 'undici';
+import {
+  operatorKey, startWholePath, waitFor, type WholePath,
+} from '@verbenashunt/stand-ins';
+import type { Vm } from '@verbenashunt/schema';
+
+const declarations = fileURLToPath(new URL('../../examples/demo', import.meta.url));
+const headers = { authorization: 'Bearer demo-key', 'content-type': 'application/json' };
+const longAnswer = 60;
+const slow = ['--layer-ms', '3'];
+let path: WholePath;
+
+afterEach(() => path?.stop());
+
+const start = async (flags: string[] = []) => {
+  path = await startWholePath({
+    model: 'rankings',
+    layers: 12,
+    fleet: 'armor-rankings',
+    engines: [{ lo: 0, hi: 12, flags }, { lo: 0, hi: 12, flags }],
+    services: 0,
+    entries: 1,
+    declarations,
+    entryFlags: ['--vm-poll-ms', '200'],
+  });
+  const agent = path.daemons.get('agent-engine-1')!;
+  return { agent, entry: path.entries[0]! };
+};
+
+async function chat(entry: string, maxTokens = 4) {
+  const res = await request(`${entry}/v1/chat/completions`, {
+    method: 'POST',
+    headers,
+    body: JSON.stringify({
+      model: 'rankings', max_tokens: maxTokens, messages: [{ role: 'user', content: 'Why third?' }],
+    }),
+  });
+  return { status: res.statusCode, text: await res.body.text() };
+}
+
+interface AgentView {
+  node: string;
+  own: number;
+  state: { draining: boolean };
+}
+
+async function agentsOf(entry: string) {
+  const res = await request(`${entry}/operator/v1/state`, { headers: { authorization: `Bearer ${operatorKey}` } });
+  return (await res.body.json() as { agents: AgentView[] }).agents;
+}
+
+/** Offers that the first agent has accepted. */
+async function accepted() {
+  const { httpPort } = path.daemons.get('agent-engine-1')!.ready as { httpPort: number };
+  const res = await request(`http://127.0.0.1:${httpPort}/metrics`);
+  const counter = /stage_events_total\{event="accepted"\} (\d+)/.exec(await res.body.text());
+  return Number(counter?.[1] ?? 0);
+}
+
+const leavingAt = (entry: string) => waitFor('the agent to be leaving', async () => {
+  const agent = (await agentsOf(entry)).find(({ node }) => node === 'agent-engine-1');
+  return !agent || agent.state.draining;
+});
+
+async function expectServed(answers: Promise<{ status: number }>[]) {
+  expect((await Promise.all(answers)).map(({ status }) => status)).toEqual(answers.map(() => 200));
+}
+
+const expectServedElsewhere = (entry: string) => expectServed(
+  Array.from({ length: 12 }, () => chat(entry)),
+);
+
+async function expectNoNewWork(entry: string) {
+  const before = await accepted();
+  await expectServedElsewhere(entry);
+  expect(await accepted()).toBe(before);
+}
+
+/** Starts long answers until the leaving target holds at least one. */
+async function occupy(entry: string) {
+  const running = Array.from({ length: 8 }, () => chat(entry, longAnswer));
+  await waitFor('work at the first target', async () => (await accepted()) > 0);
+  return running;
+}
+
+async function setList(change: (vm: Vm) => Vm) {
+  const list = await request(`${path.platform}/vms`);
+  const { vms } = await list.body.json() as { vms: Vm[] };
+  await request(`${path.platform}/vms`, { method: 'PUT', body: JSON.stringify({ vms: vms.map(change) }) });
+}
+
+test('told by the list', async () => {
+  const { entry } = await start();
+  await setList((vm) => (vm.id === 'agent-engine-1' ? { ...vm, state: 'leaving' } : vm));
+  await leavingAt(entry);
+  await expectNoNewWork(entry);
+});
+
+test('told by SIGTERM while the list lags, and work in flight ends whole', async () => {
+  const { agent, entry } = await start(slow);
+  const running = await occupy(entry);
+  const ended = agent.stop();
+  await leavingAt(entry);
+  await expectNoNewWork(entry);
+  await expectServed(running);
+  expect(await ended).toBe(0);
+});
+
+test('told by SIGTERM while the list is down', async () => {
+  const { agent, entry } = await start(slow);
+  await path.daemons.get('platform')!.stop('SIGKILL');
+  const running = await occupy(entry);
+  const ended = agent.stop();
+  await leavingAt(entry);
+  await expectNoNewWork(entry);
+  await expectServed(running);
+  expect(await ended).toBe(0);
+});
+
+test('frozen while draining, and waking, it still takes no new work', async () => {
+  const { agent, entry } = await start(slow);
+  const running = await occupy(entry);
+  const ended = agent.stop();
+  await leavingAt(entry);
+  const before = await accepted();
+  agent.process.kill('SIGSTOP');
+  await waitFor('the frozen agent to be lost', async () => (
+    !(await agentsOf(entry)).some(({ node }) => node === 'agent-engine-1')));
+  await expectServedElsewhere(entry);
+  await expectServed(running);
+  agent.process.kill('SIGCONT');
+  expect(await accepted()).toBe(before);
+  await expectServedElsewhere(entry);
+  expect(await ended).toBe(0);
+});
+
+test('killed while draining, its answers go on elsewhere', async () => {
+  const { agent, entry } = await start(slow);
+  const running = await occupy(entry);
+  agent.process.kill('SIGTERM');
+  await leavingAt(entry);
+  await agent.stop('SIGKILL');
+  await expectServedElsewhere(entry);
+  await expectServed(running);
+});
