Keep usage records in the object store, each request counted once

Cause: what a request used was known only to the entry that served it.

Change: one record for each request at its first final outcome; batches every 10 s under a key that names process and sequence, unchanged from the first try on, so a write whose answer was lost is repeated without harm; readers count each id once, and a call with an Idempotency-Key has one id wherever it is sent. Agents' side of lost entries has its own tests (grace, resume, newer process, given up).

--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -2,3 +2,4 @@
 export * from './agent.js';
 export * from './stages/stage-table.js';
 export * from './calls/call-table.js';
+export * from './peers/entries.js';
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -22,7 +22,10 @@
 import { createRequestRegistry, type RequestRun } from './requests/registry.js';
 import { createEntryRetries } from './requests/retries.js';
 import { createServiceCall } from './requests/service-call.js';
+import { createUsage } from './usage/usage.js';
 
+/** Longest wait at a stop for the usage records to be stored. */
+const usageFlushMs = 5000;
 const sameZoneLinkMs = 0.1;
 const otherZoneLinkMs = 0.25;
 const otherRegionLinkMs = 25;
@@ -82,6 +85,9 @@
     revision: config.revision,
   });
 
+  const usage = createUsage({
+    clock, node: cfg.node, incarnation, platform, registry: metrics.registry,
+  });
   const registry = createRequestRegistry(metrics.protocolErrors);
 
   /** Brings a peer forward, or asks it for what it has seen beyond this process. */
@@ -178,22 +184,24 @@
       sequence += 1;
       return `${cfg.node}-${incarnation.toString(36)}-${sequence}`;
     },
-    generate: (spec, sink) => register(spec.req, (closed) => createGeneration(spec, sink, {
-      ...shared,
-      closed,
-      choose: ({ model, version, layers }, avoid) => chooseChain({
-        layers,
-        candidates: peers.candidates(model, version).filter(({ node }) => !avoid.has(node)),
-        linkMs: (from, to) => linkMs(from?.zone ?? cfg.zone, from?.region ?? cfg.region, to),
-      }),
-    })),
-    call: (spec, targets, sink) => register(spec.req, (closed) => createServiceCall(spec, sink, {
-      ...shared,
-      closed,
-      records,
-      follow: (other) => registry.follow(other, spec.req),
-      choose: (avoid) => pickTarget(targets, avoid),
-    })),
+    generate: (spec, caller) => usage.generation(spec, caller, (sink) => (
+      register(spec.req, (closed) => createGeneration(spec, sink, {
+        ...shared,
+        closed,
+        choose: ({ model, version, layers }, avoid) => chooseChain({
+          layers,
+          candidates: peers.candidates(model, version).filter(({ node }) => !avoid.has(node)),
+          linkMs: (from, to) => linkMs(from?.zone ?? cfg.zone, from?.region ?? cfg.region, to),
+        }),
+      })))),
+    call: (spec, targets, caller) => usage.call(spec, caller, (sink) => (
+      register(spec.req, (closed) => createServiceCall(spec, sink, {
+        ...shared,
+        closed,
+        records,
+        follow: (other) => registry.follow(other, spec.req),
+        choose: (avoid) => pickTarget(targets, avoid),
+      })))),
   });
 
   const operators = createOperatorHandlers({
@@ -243,7 +251,8 @@
       cancelHeadPoll();
       peers.close();
       heartbeats.close();
-      await Promise.all([closeHttp(http, clock, whole), platform.close()]);
+      await Promise.all([closeHttp(http, clock, whole), usage.close(usageFlushMs)]);
+      await platform.close();
       log.info({ whole }, 'stopped');
       return whole;
     },
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -5,3 +5,6 @@
 export * from './requests/registry.js';
 export * from './config/store.js';
 export * from './peers/agents.js';
+export * from './usage/log.js';
+export * from './usage/meter.js';
+export * from './usage/totals.js';
--- /dev/null
+++ b/packages/entry/src/usage/meter.ts
@@ -0,0 +1,88 @@
+/** Turns what happens to a request into its one usage record. */
+import { sha256, type Clock } from '@verbenashunt/core';
+import type { UsageRecord } from '@verbenashunt/schema';
+import type { GenerationSink, GenerationSpec } from '../requests/generation.js';
+import type { RequestRun } from '../requests/registry.js';
+import type { ServiceCallSink, ServiceCallSpec } from '../requests/service-call.js';
+
+export interface UsageMeter {
+  generation(
+    spec: GenerationSpec,
+    sink: GenerationSink,
+    start: (sink: GenerationSink) => RequestRun,
+  ): RequestRun;
+  call(
+    spec: ServiceCallSpec,
+    sink: ServiceCallSink,
+    start: (sink: ServiceCallSink) => RequestRun,
+  ): RequestRun;
+}
+
+/** A call with an Idempotency-Key has one identity, however often and wherever it is sent. */
+const callId = ({ req, org, key }: ServiceCallSpec) => (
+  key === undefined ? req : `call-${sha256(`${org}\n${key}`)}`);
+
+export function createUsageMeter(clock: Clock, add: (record: UsageRecord) => void): UsageMeter {
+  /** Records the first outcome that it is told. */
+  function once(describe: () => Omit<UsageRecord, 'at' | 'outcome'>) {
+    let recorded = false;
+    return (outcome: string) => {
+      if (recorded) return;
+      recorded = true;
+      add({ ...describe(), at: Math.round(clock.wall()), outcome });
+    };
+  }
+
+  const cancelling = (run: RequestRun, finish: (outcome: string) => void): RequestRun => ({
+    ...run,
+    cancel() {
+      finish('cancelled');
+      run.cancel();
+    },
+  });
+
+  return {
+    generation(spec, sink, start) {
+      let tokens = 0;
+      const finish = once(() => ({
+        id: spec.req,
+        org: spec.org,
+        cls: spec.cls,
+        model: spec.model,
+        promptTokens: spec.prompt.length,
+        tokens,
+      }));
+      return cancelling(start({
+        ...sink,
+        token(token) {
+          tokens += 1;
+          sink.token(token);
+        },
+        end(reason) {
+          finish('completed');
+          sink.end(reason);
+        },
+        refuse(refusal) {
+          finish(refusal.code);
+          sink.refuse(refusal);
+        },
+      }), finish);
+    },
+    call(spec, sink, start) {
+      const finish = once(() => ({
+        id: callId(spec), org: spec.org, cls: spec.cls, model: '', promptTokens: 0, tokens: 0,
+      }));
+      return cancelling(start({
+        ...sink,
+        result(result) {
+          finish('completed');
+          sink.result(result);
+        },
+        refuse(refusal) {
+          finish(refusal.code);
+          sink.refuse(refusal);
+        },
+      }), finish);
+    },
+  };
+}
--- a/packages/schema/src/validators.ts
+++ b/packages/schema/src/validators.ts
@@ -39,6 +39,7 @@
   rows: typed<platformTypes.Rows>(platform.validateRows),
   callRecord: typed<platformTypes.CallRecord>(platform.validateCallRecord),
   quarantineRecord: typed<platformTypes.QuarantineRecord>(platform.validateQuarantineRecord),
+  usageBatch: typed<platformTypes.UsageBatch>(platform.validateUsageBatch),
   vmList: typed<platformTypes.VmList>(platform.validateVmList),
   vm: typed<platformTypes.Vm>(platform.validateVm),
   engineOp: typed<engineTypes.EngineOp>(engine.validateEngineOp),
--- /dev/null
+++ b/test/membership/entries.test.ts
@@ -0,0 +1,91 @@
+/** What an agent frees when an entry is lost, with passed-in time. */
+import { expect, test } from 'vitest';
+import { createEntryPeers } from '@verbenashunt/agent';
+import { ManualClock } from '@verbenashunt/core';
+import type { Message } from '@verbenashunt/schema';
+import type { Connection } from '@verbenashunt/wire';
+import { helloOf } from '../support/peers.js';
+
+function start() {
+  const clock = new ManualClock();
+  const lost: string[] = [];
+  const peers = createEntryPeers({
+    clock, onLost: (entry) => lost.push(entry), onProtocolError: () => {},
+  });
+  function connect(fields: { incarnation?: number; session?: number } = {}) {
+    const sent: Message[] = [];
+    let closed = false;
+    const connection: Connection = {
+      peer: helloOf({ role: 'entry', node: 'entry-1', ...fields }),
+      open: true,
+      heardAt: 0,
+      usedAt: 0,
+      send: (message) => sent.push(message),
+      close() {
+        if (closed) return;
+        closed = true;
+        peers.closed(connection, undefined);
+      },
+    };
+    peers.opened(connection);
+    return { connection, sent, isClosed: () => closed };
+  }
+  return {
+    clock, lost, peers, connect,
+  };
+}
+
+test('an entry that stays away is lost after the grace', () => {
+  const { clock, lost, connect } = start();
+  connect().connection.close();
+  clock.advance(2900);
+  expect(lost).toEqual([]);
+  clock.advance(200);
+  expect(lost).toEqual(['entry-1']);
+});
+
+test('an entry that resumes within the grace keeps its work', () => {
+  const { clock, lost, connect } = start();
+  connect().connection.close();
+  clock.advance(1000);
+  connect();
+  clock.advance(10_000);
+  expect(lost).toEqual([]);
+});
+
+test('a second connection takes over, and the first one\'s end loses nothing', () => {
+  const {
+    clock, lost, peers, connect,
+  } = start();
+  const first = connect();
+  const second = connect();
+  peers.replyTo(first.connection)({ t: 'pong', n: 1 });
+  expect(second.sent).toHaveLength(1);
+  second.connection.close();
+  peers.broadcast({ t: 'pong', n: 2 });
+  expect(first.sent).toHaveLength(1);
+  clock.advance(10_000);
+  expect(lost).toEqual([]);
+});
+
+test('a newer process of the entry voids the old one\'s work at once', () => {
+  const { lost, connect } = start();
+  const old = connect();
+  connect({ incarnation: 2 });
+  expect(lost).toEqual(['entry-1']);
+  expect(old.isClosed()).toBe(true);
+});
+
+test('an older process of the entry is turned away', () => {
+  const { lost, connect } = start();
+  connect({ incarnation: 2 });
+  expect(connect({ incarnation: 1 }).isClosed()).toBe(true);
+  expect(lost).toEqual([]);
+});
+
+test('an entry that had given up this agent voids its work', () => {
+  const { lost, connect } = start();
+  connect({ session: 0 });
+  connect({ session: 1 });
+  expect(lost).toEqual(['entry-1']);
+});
