--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -7,3 +7,6 @@
 export * from './peers/agents.js';
 export * from './config/spread.js';
 export * from './requests/fences.js';
+export * from './usage/log.js';
+export * from './usage/meter.js';
+export * from './usage/totals.js';
