--- a/packages/cli/src/settings/resolve.ts
+++ b/packages/cli/src/settings/resolve.ts
@@ -1,41 +1,12 @@
 /** One resolver for every setting: its flag, else its environment variable, else its default. */
 import { SettingsError } from '@verbenashunt/core';
 import { settingsSchema, type ValidationIssue, type Validator } from '@verbenashunt/schema';
+import {
+  describeSetting, envOf, envPrefix, rangeOf, type SettingSchema, type SettingsSchema,
+} from './names.js';
 
-const envPrefix = 'VERBENASHUNT_';
 const decimal = /^-?\d+(\.\d+)?$/;
 
-/** What the resolver reads of a setting's schema. */
-export interface SettingSchema {
-  type: string;
-  description?: string;
-  default?: string | number | boolean;
-  enum?: readonly string[];
-  minimum?: number;
-  maximum?: number;
-  pattern?: string;
-}
-
-export interface SettingsSchema {
-  required?: readonly string[];
-  properties: Record<string, SettingSchema>;
-}
-
-const kebab = (name: string) => name.replace(/[A-Z]/g, (c) => `-${c.toLowerCase()}`);
-
-export const flagOf = (name: string) => `--${kebab(name)}`;
-export const envOf = (name: string) => `${envPrefix}${kebab(name).replaceAll('-', '_').toUpperCase()}`;
-
-/** The values that a setting takes, in words. */
-export function rangeOf(schema: SettingSchema): string {
-  if (schema.enum) return `one of ${schema.enum.join(', ')}`;
-  if (schema.type === 'integer') return `a whole number from ${schema.minimum} to ${schema.maximum}`;
-  if (schema.type === 'boolean') return 'true or false';
-  return schema.pattern ? `text that matches ${schema.pattern}` : 'text';
-}
-
-const named = (name: string) => `${flagOf(name)} (${envOf(name)})`;
-
 function parse(schema: SettingSchema, text: string): unknown {
   if (schema.type === 'integer' || schema.type === 'number') return decimal.test(text) ? Number(text) : text;
   if (schema.type === 'boolean') return { true: true, false: false }[text] ?? text;
@@ -49,12 +20,12 @@
 ): string {
   if (issue.keyword === 'required') {
     const name = String(issue.params.missingProperty);
-    return `${named(name)} is missing (no value); it takes ${rangeOf(schema.properties[name]!)}`;
+    return `${describeSetting(name)} is missing (no value); it takes ${rangeOf(schema.properties[name]!)}`;
   }
   const name = issue.instancePath.slice(1);
   const property = schema.properties[name];
   return property
-    ? `${named(name)} is "${String(values[name])}"; it takes ${rangeOf(property)}`
+    ? `${describeSetting(name)} is "${String(values[name])}"; it takes ${rangeOf(property)}`
     : `${name} ${issue.message}`;
 }
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -6,7 +6,8 @@
 } from '@verbenashunt/core';
 import type { EntrySettings, Hello, Message } from '@verbenashunt/schema';
 import {
-  createHeartbeats, createPeerMetrics, createPlatformClient, drain, protocolVersion,
+  createDialer, createHeartbeats, createPeerMetrics, createPlatformClient, drain, protocolVersion,
+  resolvePeerTls,
 } from '@verbenashunt/wire';
 import { createConfigSpread, type ConfigSpread } from './config/spread.js';
 import { createConfigStore } from './config/store.js';
@@ -107,6 +108,7 @@
     random,
     hello,
     heartbeats,
+    dial: (options) => createDialer({ ...options, tls: resolvePeerTls(cfg) }),
     count: peerMetrics.link,
     onMessage: receive,
     onOpen: ({ peer, send }) => leveller.heard(peer.revision, send),
