--- a/packages/wire/src/dial.ts
+++ b/packages/wire/src/dial.ts
@@ -73,6 +73,7 @@
   let suspectedAt: number | undefined;
   let stopped = false;
   let retryMs = minRetryMs;
+  let session = 0;
   let cancelRetry: CancelTimer = () => {};
   let cancelGrace: CancelTimer = () => {};
 
@@ -84,6 +85,7 @@
     if (!known) return;
     const gone = known;
     const open = live;
+    session += 1;
     known = undefined;
     live = undefined;
     suspectedAt = undefined;
@@ -170,7 +172,7 @@
     const socket = connectToPeer(options.host, options.port, options.tls);
     trial = createConnection(socket, {
       clock,
-      hello: options.hello,
+      hello: () => ({ ...options.hello(), session }),
       helloTimeoutMs,
       reject,
       handlers: {
