--- a/packages/stand-ins/src/engine/sessions.ts
+++ b/packages/stand-ins/src/engine/sessions.ts
@@ -1,7 +1,7 @@
 /** Streams of operations that a caller may resume on a new connection for some time. */
 import type { EngineOp, EngineOut } from '@verbenashunt/schema';
 
-/** Outputs kept for a caller that resumes. */
+/** Outputs kept for a caller that resumes, at the least; trimmed at twice as many. */
 const maxTail = 10_000;
 
 export interface Session {
@@ -42,7 +42,7 @@
       },
       output(out) {
         tail.push(out);
-        if (tail.length > maxTail) {
+        if (tail.length > 2 * maxTail) {
           dropped += tail.length - maxTail;
           tail = tail.slice(-maxTail);
         }
