--- a/scripts/docs.ts
+++ b/scripts/docs.ts
@@ -1,8 +1,9 @@
 /**
- * Writes the tables of settings and errors into the docs, between the marks of each table.
+ * Writes the tables of settings, errors and metrics into the docs, between the marks of each table.
  * With --check nothing is written; the exit code is 1 when a page is stale.
  */
-import { readFile, writeFile } from 'node:fs/promises';
+import { readdir, readFile, writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
 import {
   envOf, flagOf, rangeOf, type SettingsSchema,
 } from '../packages/cli/src/settings/names.js';
@@ -35,12 +36,28 @@
   return table(['code', 'status', 'ran', 'Retry-After by default', 'message'], rows);
 }
 
+const metricPattern = /new (Counter|Gauge|Histogram)\(\{\s*name: '(verbenashunt_\w+)',\s*help: '((?:[^'\\]|\\.)*)'/g;
+
+/** Metrics as the sources of the daemons declare them. */
+async function metricsTable(): Promise<string> {
+  const packages = ['entry', 'agent', 'wire'].map((name) => `packages/${name}/src`);
+  const files = (await Promise.all(packages.map(async (dir) => (
+    await readdir(dir, { recursive: true })).map((file) => join(dir, file))))).flat()
+    .filter((file) => file.endsWith('.ts'));
+  const sources = await Promise.all(files.map((file) => readFile(file, 'utf8')));
+  const rows = sources.flatMap((source) => [...source.matchAll(metricPattern)])
+    .map(([, kind, name, help]) => [`\`${name}\``, kind!.toLowerCase(), help!])
+    .sort((a, b) => (a.join() < b.join() ? -1 : 1));
+  return table(['name', 'kind', 'what it tells'], rows.filter((r, i) => r.join() !== rows[i - 1]?.join()));
+}
+
 const pages: Record<string, Record<string, string>> = {
   'docs/operators/settings.md': {
     entry: settingsTable(settingsSchema.$defs.EntrySettings),
     agent: settingsTable(settingsSchema.$defs.AgentSettings),
   },
   'docs/errors.md': { refusals: refusalsTable() },
+  'docs/operators/metrics.md': { metrics: await metricsTable() },
 };
 
 function fill(page: string, tables: Record<string, string>): string {
