Limit concurrency by the batches that a target keeps full

Cause: with a concurrency limit of its own that grew and shrank by the latency of operations (AIMD on time against the shortest seen), limits drifted apart, targets at their limit carried no information, and queues stood at some targets (570 operations) while others had none. The adaptive limit is reverted.

--- a/bench/support/experiments.ts
+++ b/bench/support/experiments.ts
@@ -1,6 +1,6 @@
 /** Experiments of the decision benches. */
 import {
-  planPlacement, throughputBound, type Fleet, type FleetTarget, type PlacementPlan,
+  planPlacement, throughputBound, type Fleet, type PlacementPlan,
 } from '@verbenashunt/core';
 import {
   fullViewPolicy, leastLoadPolicy, powerOfTwoPolicy, randomPolicy, roundRobinPolicy, routerPolicy,
@@ -54,21 +54,22 @@
   })));
 }
 
-/** Limit that an agent starts from; it adapts from there. */
-const limitOf = ({ layerMs }: FleetTarget) => Math.round(24 / layerMs);
+/** Requests that an agent admits, whatever it holds of the model. */
+const limitOf = () => 1000;
 
 export const baseSpec = (
   { fleet, plan }: Deployment,
   streams: RequestStream[],
 ): Omit<ModelRunSpec, 'policy'> => ({
   seed: 1,
+  depth: Number(process.env.DEPTH ?? 1.8),
   fleet,
   pins: plan.pins,
   entries: 3,
   streams,
   limitOf,
   reportMs: 500,
-  warmUpMs: 2000,
-  durationMs: 1500,
+  warmUpMs: 8000,
+  durationMs: 4000,
   maxWaitMs: 2000,
 });
--- a/packages/core/src/admission/index.ts
+++ b/packages/core/src/admission/index.ts
@@ -3,4 +3,3 @@
 export * from './service-rate.js';
 export * from './admission.js';
 export * from './classes.js';
-export * from './grant.js';
--- a/packages/core/src/routing/predict.ts
+++ b/packages/core/src/routing/predict.ts
@@ -31,14 +31,16 @@
 
 /** Time of a decode in a full batch over its time alone, minus one. */
 const fullBatchShare = 0.6;
-/** Added when a target is at its limit: work then waits for the iteration before it. */
-const queueShare = 1.5;
+/** Weight of the wait for earlier work, which grows without bound towards the limit. */
+const queueShare = 0.5;
+/** Room that a full target is thought to have, which keeps its cost finite. */
+const minRoom = 0.01;
 
 /** Factor by which the work that a target holds slows a further request. */
 export function crowdingOf({ active, limit }: StageCandidate): number {
-  const used = (active + 1) / limit;
-  const waiting = used ** 3 * queueShare;
-  return 1 + fullBatchShare * Math.min(1, used) + waiting;
+  const used = active / limit;
+  const room = Math.max(minRoom, 1 - used);
+  return 1 + fullBatchShare * Math.min(1, used) + (queueShare * used) / room;
 }
 
 /** Milliseconds that one layer of a request takes on a target over the whole answer. */
--- a/packages/stand-ins/src/load/model/entries.ts
+++ b/packages/stand-ins/src/load/model/entries.ts
@@ -1,7 +1,7 @@
 /** An entry of the model: its view of the agents, its admission and its choice. */
 import {
   classOfChat, correctedActive, createAdmission, draftClass, generationCost,
-  hasFreeChain, type AdmissionWork, type Clock, type Fleet, type StageCandidate,
+  hasFreeChain, limitToDepth, type AdmissionWork, type Clock, type Fleet, type StageCandidate,
 } from '@verbenashunt/core';
 import type { ModelAgent } from './agents.js';
 import type { ChainPolicy } from './policies.js';
@@ -81,12 +81,19 @@
     refresh(view);
   }
 
+  const modelOf = (name: string) => deps.fleet.models.find((m) => m.name === name)!;
+
   function candidates(model: string, fill: number, avoid?: ReadonlySet<string>) {
     const able = [...views].filter(([name, { agent }]) => agent.pin.model === model
       && !absent.has(name) && !avoid?.has(name));
-    return able.map(([, { candidate }]) => (fill === 1
-      ? candidate
-      : { ...candidate, limit: Math.max(1, Math.floor(candidate.limit * fill)) }));
+    const limited = limitToDepth(
+      able.map(([, { candidate }]) => candidate),
+      modelOf(model).layers,
+      spec.depth,
+    );
+    return fill === 1 ? limited : limited.map((candidate) => ({
+      ...candidate, limit: Math.max(1, Math.floor(candidate.limit * fill)),
+    }));
   }
 
   function linkMs(from: ModelAgent | undefined, to: ModelAgent | undefined) {
@@ -95,7 +102,6 @@
   }
 
   const fillOf = (stream: RequestStream) => (stream.cls === draftClass.name ? draftClass.fill : 1);
-  const modelOf = (name: string) => deps.fleet.models.find((m) => m.name === name)!;
 
   const admission = createAdmission({
     now: clock.now,
--- a/packages/stand-ins/src/load/model/request.ts
+++ b/packages/stand-ins/src/load/model/request.ts
@@ -92,7 +92,6 @@
       if (over || attempt !== current || agent.life !== life) return;
       if (decoding) {
         const perLayer = (clock.now() - addedAt) / (hi - lo);
-        agent.observe(perLayer);
         hooks.observed(agent, perLayer + onwardMs / (hi - lo));
       }
       decoding = true;
--- a/packages/stand-ins/src/load/model/spec.ts
+++ b/packages/stand-ins/src/load/model/spec.ts
@@ -43,6 +43,8 @@
   streams: readonly RequestStream[];
   /** Concurrent requests that a target's agent admits. */
   limitOf(target: FleetTarget): number;
+  /** Full batches that may be at a target at once. */
+  depth?: number;
   /** Time between load reports, which is also how stale they get, in milliseconds. */
   reportMs: number;
   warmUpMs: number;
