--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -2,27 +2,24 @@
 import Emittery from 'emittery';
 import type { Logger } from 'pino';
 import {
-  createConfigHolder, ProtocolError, SystemClock, type Clock,
+  createConfigHolder, createLeveller, SystemClock, type Clock,
 } from '@verbenashunt/core';
 import type {
   AgentSettings, Hello, LoadedModel, Message, TargetState,
 } from '@verbenashunt/schema';
 import {
-  createPlatformClient, listenForPeers, protocolVersion, type Connection,
+  createHeartbeats, createPeerMetrics, createPlatformClient, drain, listenForPeers, protocolVersion,
 } from '@verbenashunt/wire';
 import { createCallTable } from './calls/call-table.js';
 import { serveAgentHttp } from './http/server.js';
 import { takeIncarnation } from './incarnation.js';
 import { createAgentMetrics } from './metrics.js';
+import { createEntryPeers } from './peers/entries.js';
 import { createLinks } from './peers/links.js';
 import { createStageTable } from './stages/stage-table.js';
 import { createEngineTarget, type EngineHandlers } from './targets/engine-target.js';
 import { createServiceTarget } from './targets/service-target.js';
 
-/** Time that an entry's work is kept after its connection was lost, in milliseconds. */
-const entryGraceMs = 3000;
-const drainPollMs = 20;
-
 export interface AgentEvents {
   serving: boolean;
   draining: undefined;
@@ -33,8 +30,11 @@
   readonly peerPort: number;
   readonly httpPort: number;
   readonly events: Emittery<AgentEvents>;
-  /** Takes no new work, waits for what is in flight, then closes. */
-  stop(): Promise<void>;
+  /**
+   * Takes no new work, waits for what is in flight, then closes. Resolves to whether all ran to
+   * its end; it is cut off at the drain timeout and when `hurry` aborts.
+   */
+  stop(hurry?: AbortSignal): Promise<boolean>;
 }
 
 /** Sends an answer to the peer that a message came from. */
@@ -56,8 +56,9 @@
   let loaded: LoadedModel[] = [];
   let accelerator: TargetState['accelerator'];
   let serving = cfg.targetKind === 'service';
-  let draining = false;
-  const entries = new Map<string, Connection>();
+  let leaving = false;
+  const peerMetrics = createPeerMetrics(metrics.registry);
+  const heartbeats = createHeartbeats({ clock, onStall: peerMetrics.stalled });
 
   const config = createConfigHolder((view) => {
     metrics.revision(view.revision);
@@ -65,17 +66,21 @@
     events.emit('config', view.revision);
   });
 
+  const leveller = createLeveller(config);
+  const draining = () => leaving || Boolean(config.view?.operations.drains.has(cfg.target));
+
   const common = {
     incarnation,
     maxActive,
     revision: () => config.revision,
-    admitting: () => serving && !draining,
+    admitting: () => serving && !draining() && config.revision > 0,
   };
   const service = createServiceTarget(cfg.targetUrl);
-  const calls = createCallTable({ ...common, service });
+  const calls = createCallTable({ ...common, clock, service });
   /* eslint-disable @typescript-eslint/no-use-before-define -- table and target know each other */
   const stages = createStageTable({
     ...common,
+    clock,
     loaded: () => loaded,
     run: (op) => engine?.run(op),
     forward: (hop, message) => links.send(hop, message),
@@ -88,7 +93,7 @@
     kind: cfg.targetKind,
     fleet: cfg.fleet,
     serving,
-    draining,
+    draining: draining(),
     loaded,
     load: (cfg.targetKind === 'engine' ? stages : calls).load(),
     ...(accelerator ? { accelerator } : {}),
@@ -104,7 +109,11 @@
     revision: config.revision,
     state: state(),
   });
-  const tellEntries = () => entries.forEach((entry) => entry.send({ t: 'state', state: state() }));
+  const entries = createEntryPeers({
+    clock, onLost: stages.entryLost, onProtocolError: metrics.protocolErrors,
+  });
+  const tellEntries = () => entries.broadcast({ t: 'state', state: state() });
+  events.on('config', tellEntries);
 
   function setServing(value: boolean) {
     if (serving === value) return;
@@ -138,6 +147,14 @@
     ? createEngineTarget(cfg.targetUrl, clock, engineHandlers)
     : undefined;
 
+  /** The platform's list says that this VM is leaving; it holds until the process ends. */
+  function leave() {
+    if (leaving) return;
+    leaving = true;
+    log.info('leaving by the platform list');
+    tellEntries();
+  }
+
   const requests = engine ? stages : calls;
   /** What each message does; those that an agent does not take are dropped. */
   const handlers: { [T in Message['t']]?: (message: Extract<Message, { t: T }>, reply: Reply) => void } = {
@@ -145,20 +162,22 @@
     start: stages.start,
     step: stages.step,
     feed: stages.feed,
+    adopt: stages.adopt,
+    replay: stages.replay,
+    resume: stages.resume,
     call: calls.call,
     cancel: ({ req, attempt }, reply) => requests.cancel(req, attempt, reply),
     status: ({ req, attempt }, reply) => requests.status(req, attempt, reply),
     ping: ({ n }, reply) => reply({
       t: 'pong', n, revision: config.revision, load: requests.load(),
     }),
-    config: ({ record }) => config.offer(record),
-    configAsk({ revision }, reply) {
-      if (!config.record || config.revision <= revision) return;
-      reply({ t: 'config', revision: config.revision, record: config.record });
+    leave: (message) => {
+      if (message.incarnation === incarnation) leave();
     },
   };
 
   function receive(message: Message, reply: Reply) {
+    leveller.receive(message, reply);
     const handler = handlers[message.t] as ((message: Message, reply: Reply) => void) | undefined;
     handler?.(message, reply);
   }
@@ -167,34 +186,23 @@
     clock,
     random,
     hello,
+    heartbeats,
+    count: peerMetrics.link,
     onMessage: (message) => receive(message, () => {}),
     onLost: stages.hopLost,
+    onResumed: stages.hopLost,
   });
 
-  /** Sends to the entry's newest connection, so that answers survive a reconnect. */
-  const replyTo = (connection: Connection) => (message: Message) => {
-    (entries.get(connection.peer.node) ?? connection).send(message);
-  };
-
   const listener = await listenForPeers(cfg.host ?? '127.0.0.1', cfg.peerPort, hello, {
-    onOpen(connection) {
-      if (connection.peer.role === 'entry') entries.set(connection.peer.node, connection);
-    },
-    onMessage(connection, message) {
-      receive(message, replyTo(connection));
-    },
+    onOpen: entries.opened,
+    onMessage: (connection, message) => receive(message, entries.replyTo(connection)),
     onClose(connection, err) {
-      if (err instanceof ProtocolError) metrics.protocolErrors();
-      const { peer } = connection;
-      if (!peer || entries.get(peer.node) !== connection) return;
-      entries.delete(peer.node);
-      clock.after(entryGraceMs, () => {
-        if (!entries.has(peer.node)) stages.entryLost(peer.node);
-      });
+      peerMetrics.closed(err);
+      entries.closed(connection, err);
     },
-  });
+  }, { clock, heartbeats });
   const http = await serveAgentHttp(cfg.host ?? '127.0.0.1', cfg.httpPort, {
-    ready: () => serving && !draining,
+    ready: () => serving && !draining(),
     metrics() {
       metrics.active(stages.active + calls.active);
       return metrics.registry.metrics();
@@ -202,28 +210,28 @@
   });
   log.info({ node: cfg.node, incarnation, peerPort: listener.port }, 'agent started');
 
-  async function drained(deadline: number): Promise<void> {
-    if (stages.active + calls.active === 0 || clock.now() >= deadline) return undefined;
-    await new Promise<void>((resolve) => {
-      clock.after(drainPollMs, resolve);
-    });
-    return drained(deadline);
-  }
-
   return {
     peerPort: listener.port,
     httpPort: http.port,
     events,
-    async stop() {
-      draining = true;
+    async stop(hurry) {
+      leaving = true;
       tellEntries();
       log.info('draining');
       await events.emit('draining');
-      await drained(clock.now() + (cfg.drainTimeoutMs ?? 120_000));
+      const whole = await drain({
+        clock,
+        noticeMs: 0,
+        timeoutMs: cfg.drainTimeoutMs ?? 120_000,
+        hurry,
+        idle: () => stages.active + calls.active === 0,
+      });
       listener.close();
       links.close();
+      heartbeats.close();
       await Promise.all([engine?.close(), service.close(), platform.close(), http.close()]);
-      log.info('stopped');
+      log.info({ whole }, 'stopped');
+      return whole;
     },
   };
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -2,21 +2,28 @@
 import Emittery from 'emittery';
 import type { Logger } from 'pino';
 import {
-  chooseChain, createConfigHolder, SystemClock, type Clock,
+  chooseChain, chooseStage, createConfigHolder, createLeveller, SystemClock, type Clock,
 } from '@verbenashunt/core';
 import type { EntrySettings, Hello, Message } from '@verbenashunt/schema';
-import { createPlatformClient, protocolVersion, type Connection } from '@verbenashunt/wire';
+import {
+  createHeartbeats, createPeerMetrics, createPlatformClient, drain, protocolVersion,
+} from '@verbenashunt/wire';
+import { createConfigSpread, type ConfigSpread } from './config/spread.js';
 import { createConfigStore } from './config/store.js';
+import { createBodyReader } from './http/body.js';
 import { createCallerHandlers } from './http/callers.js';
 import { createOperatorHandlers } from './http/operators.js';
-import { serveEntryHttp } from './http/server.js';
+import { resolveHttpOptions } from './http/options.js';
+import { closeHttp, serveEntryHttp } from './http/server.js';
 import { createEntryMetrics } from './metrics.js';
 import { createAgentPeers, type AgentPeer } from './peers/agents.js';
+import { createCallRecords } from './requests/call-records.js';
+import { createFences } from './requests/fences.js';
 import { createGeneration } from './requests/generation.js';
 import { createRequestRegistry, type RequestRun } from './requests/registry.js';
+import { createEntryRetries } from './requests/retries.js';
 import { createServiceCall } from './requests/service-call.js';
 
-const drainPollMs = 20;
 const sameZoneLinkMs = 0.1;
 const otherZoneLinkMs = 0.25;
 const otherRegionLinkMs = 25;
@@ -27,9 +34,13 @@
 
 export interface Entry {
   readonly httpPort: number;
+  readonly peerPort: number;
   readonly events: Emittery<EntryEvents>;
-  /** Takes no new requests, waits for those in flight, then closes. */
-  stop(): Promise<void>;
+  /**
+   * Takes no new requests, waits for those in flight, then closes. Resolves to whether all ran to
+   * their end; they are cut off at the drain timeout and when `hurry` aborts.
+   */
+  stop(hurry?: AbortSignal): Promise<boolean>;
 }
 
 export interface EntryDeps {
@@ -44,21 +55,25 @@
   const events = new Emittery<EntryEvents>();
   const metrics = createEntryMetrics();
   const platform = createPlatformClient(cfg.platformUrl);
-  const store = createConfigStore(platform);
+  const records = createCallRecords(platform);
+  const retries = createEntryRetries(clock);
+  const fences = createFences(clock);
   const requestTimeoutMs = cfg.requestTimeoutMs ?? 60_000;
   let stopping = false;
   let sequence = 0;
   let cancelVmPoll = () => {};
-  let cancelHeadPoll = () => {};
+  let spread: ConfigSpread | undefined;
 
-  /* eslint-disable @typescript-eslint/no-use-before-define -- each refers to the other */
   const config = createConfigHolder((view) => {
     metrics.revision(view.revision);
     log.info({ revision: view.revision }, 'configuration in force');
-    peers.broadcast({ t: 'config', revision: view.revision, record: config.record! });
+    spread?.adopted();
     events.emit('config', view.revision);
   });
-  /* eslint-enable @typescript-eslint/no-use-before-define */
+  const leveller = createLeveller(config);
+  const store = createConfigStore({
+    platform, clock, random, config,
+  });
 
   const hello = (): Hello => ({
     t: 'hello',
@@ -73,33 +88,34 @@
 
   const registry = createRequestRegistry(metrics.protocolErrors);
 
-  /** Brings a peer forward, or asks it for what it has seen beyond this process. */
-  function levelConfig(connection: Connection) {
-    const { revision } = connection.peer;
-    if (config.record && revision < config.revision) {
-      connection.send({ t: 'config', revision: config.revision, record: config.record });
-    }
-    if (revision > config.revision) connection.send({ t: 'configAsk', revision: config.revision });
-  }
-
   function receive(node: string, message: Message) {
-    if (message.t === 'config') config.offer(message.record);
-    else registry.receive(node, message);
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- each refers to the other
+    leveller.receive(message, (answer) => peers.get(node)?.send(answer));
+    registry.receive(node, message);
   }
 
+  const peerMetrics = createPeerMetrics(metrics.registry);
+  const heartbeats = createHeartbeats({ clock, onStall: peerMetrics.stalled });
   const peers = createAgentPeers({
     clock,
     random,
     hello,
+    heartbeats,
+    count: peerMetrics.link,
     onMessage: receive,
-    onOpen: levelConfig,
+    onOpen: ({ peer, send }) => leveller.heard(peer.revision, send),
     onLost: registry.lost,
-    onResumed: registry.resumed,
+    onResumed(node) {
+      registry.resumed(node);
+      fences.resumed(node, peers.get(node)?.send);
+    },
   });
 
   async function pollVms() {
     try {
-      peers.update(await platform.listVms());
+      const vms = await platform.listVms();
+      peers.update(vms);
+      spread?.update(vms);
       metrics.agents(peers.list().length);
     } catch {
       // The last list stays in use; agents speak for themselves.
@@ -107,16 +123,6 @@
     cancelVmPoll = clock.after(cfg.vmPollMs ?? 1000, pollVms);
   }
 
-  async function pollHead() {
-    try {
-      const record = await store.readHead();
-      if (record) config.offer(record);
-    } catch {
-      // Serving goes on with the revision in force.
-    }
-    cancelHeadPoll = clock.after(cfg.headPollMs ?? 1000, pollHead);
-  }
-
   function linkMs(zone: string, region: string, to: { zone: string; region: string }) {
     if (region !== to.region) return otherRegionLinkMs;
     return zone === to.zone ? sameZoneLinkMs : otherZoneLinkMs;
@@ -134,25 +140,37 @@
   }
 
   const shared = {
-    clock, entry: cfg.node, revision: () => config.revision, agent: peers.get,
+    clock,
+    random,
+    retries,
+    fence(node: string, req: string, attempt: number) {
+      fences.send(node, { t: 'cancel', req, attempt }, peers.get(node)?.send);
+    },
+    entry: cfg.node,
+    revision: () => config.revision,
+    agent: peers.get,
   };
 
   function pickTarget(
     targets: readonly string[],
     avoid: ReadonlySet<string>,
   ): AgentPeer | undefined {
-    const able = peers.list().filter(({ node, state }) => targets.includes(state.target)
-      && state.serving && !state.draining && !avoid.has(node));
+    const able = peers.able()
+      .filter(({ node, state }) => targets.includes(state.target) && !avoid.has(node));
     const pick = () => able[Math.floor(random() * able.length)];
     const [a, b] = [pick(), pick()];
     return a && b && b.own < a.own ? b : a;
   }
 
-  const callers = createCallerHandlers({
+  const readBody = createBodyReader({ maxBufferedBytes: cfg.maxBufferedBytes ?? 67_108_864 });
+  const { interrupt, ...callers } = createCallerHandlers({
     clock,
     config,
     metrics,
+    readBody,
     maxBodyBytes: cfg.maxBodyBytes ?? 1_048_576,
+    maxPromptTokens: cfg.maxPromptTokens ?? 131_072,
+    maxStreamBacklogBytes: cfg.maxStreamBacklogBytes ?? 262_144,
     requestTimeoutMs,
     stopping: () => stopping,
     nextId() {
@@ -167,19 +185,25 @@
         candidates: peers.candidates(model, version).filter(({ node }) => !avoid.has(node)),
         linkMs: (from, to) => linkMs(from?.zone ?? cfg.zone, from?.region ?? cfg.region, to),
       }),
+      replace: ({ model, version }, range, avoid) => chooseStage(
+        peers.candidates(model, version).filter(({ node }) => !avoid.has(node)),
+        range,
+      ),
     })),
     call: (spec, targets, sink) => register(spec.req, (closed) => createServiceCall(spec, sink, {
-      ...shared, closed, choose: (avoid) => pickTarget(targets, avoid),
+      ...shared,
+      closed,
+      records,
+      follow: (other) => registry.follow(other, spec.req),
+      choose: (avoid) => pickTarget(targets, avoid),
     })),
   });
 
   const operators = createOperatorHandlers({
     config,
     store,
-    maxBodyBytes: cfg.maxBodyBytes ?? 1_048_576,
+    readBody,
     bootstrapOperatorHash: cfg.bootstrapOperatorHash,
-    wall: () => clock.wall(),
-    committed: (record) => config.offer(record),
     state: () => ({
       node: cfg.node,
       revision: config.revision,
@@ -188,8 +212,23 @@
     }),
   });
 
-  await Promise.all([pollVms(), pollHead()]);
-  const http = await serveEntryHttp(cfg.host ?? '127.0.0.1', cfg.httpPort, cfg.maxConnections ?? 10_000, {
+  spread = await createConfigSpread({
+    clock,
+    random,
+    config,
+    leveller,
+    store,
+    hello,
+    heartbeats,
+    node: cfg.node,
+    zone: cfg.zone,
+    host: cfg.host ?? '127.0.0.1',
+    peerPort: cfg.peerPort,
+    pollMs: cfg.headPollMs ?? 1000,
+    broadcast: peers.broadcast,
+  });
+  await pollVms();
+  const http = await serveEntryHttp(resolveHttpOptions(cfg, () => stopping), {
     health: {
       ready: () => config.view !== undefined && !stopping,
       metrics() {
@@ -202,26 +241,28 @@
   });
   log.info({ node: cfg.node, incarnation, httpPort: http.port }, 'entry started');
 
-  async function drained(deadline: number): Promise<void> {
-    if (registry.size === 0 || clock.now() >= deadline) return undefined;
-    await new Promise<void>((resolve) => {
-      clock.after(drainPollMs, resolve);
-    });
-    return drained(deadline);
-  }
-
   return {
     httpPort: http.port,
+    peerPort: spread.port,
     events,
-    async stop() {
+    async stop(hurry) {
       stopping = true;
       log.info('draining');
-      await drained(clock.now() + (cfg.drainTimeoutMs ?? 120_000));
+      const whole = await drain({
+        clock,
+        noticeMs: cfg.stopNoticeMs ?? 1000,
+        timeoutMs: cfg.drainTimeoutMs ?? 120_000,
+        hurry,
+        idle: () => registry.size === 0 && http.active === 0,
+      });
+      if (!whole) interrupt();
       cancelVmPoll();
-      cancelHeadPoll();
+      spread?.close();
       peers.close();
-      await Promise.all([http.close(), platform.close()]);
-      log.info('stopped');
+      heartbeats.close();
+      await Promise.all([closeHttp(http, clock, whole), platform.close()]);
+      log.info({ whole }, 'stopped');
+      return whole;
     },
   };
 }
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -4,3 +4,6 @@
 export * from './requests/service-call.js';
 export * from './requests/registry.js';
 export * from './config/store.js';
+export * from './peers/agents.js';
+export * from './config/spread.js';
+export * from './requests/fences.js';
