Admit requests in fair order at the entry and choose chains by predicted time

Requests wait at the entry in weighted fair queues until a chain has room, are refused at once with a computed Retry-After when they would wait too long, and count against their organisation's rate and concurrency.

--- a/bench/support/experiments.ts
+++ b/bench/support/experiments.ts
@@ -62,14 +62,15 @@
   streams: RequestStream[],
 ): Omit<ModelRunSpec, 'policy'> => ({
   seed: 1,
-  depth: Number(process.env.DEPTH ?? 1.8),
+  depth: 2.4,
+  rampMs: 1500,
   fleet,
   pins: plan.pins,
   entries: 3,
   streams,
   limitOf,
   reportMs: 500,
-  warmUpMs: 8000,
+  warmUpMs: 5000,
   durationMs: 4000,
   maxWaitMs: 2000,
 });
--- a/packages/core/src/limits/index.ts
+++ b/packages/core/src/limits/index.ts
@@ -1,3 +1,4 @@
 /** Limits of organisations. */
 export * from './token-bucket.js';
 export * from './shares.js';
+export * from './org-limits.js';
--- /dev/null
+++ b/packages/entry/src/admission/admission.ts
@@ -0,0 +1,221 @@
+/** Admission of an entry: limits of organisations, then fair queues, one for each resource. */
+import {
+  chatClass, createAdmission, createOrgLimits, draftClass, generationCost, lookupClass,
+  type Admission, type AdmissionWork, type Clock, type ConfigHolder, type Refusal,
+} from '@verbenashunt/core';
+import type { LimitDecl } from '@verbenashunt/schema';
+import type { GenerationSink, GenerationSpec } from '../requests/generation-spec.js';
+import type { RequestRun } from '../requests/registry.js';
+import type { ServiceCallSink, ServiceCallSpec } from '../requests/service-call.js';
+import type { Routing } from '../routing/routing.js';
+
+/** Time between looks for room while work waits; ends of requests are looked at as they come. */
+const pollMs = 20;
+/** Longest wait that is promised; a caller that would wait longer is told when to come back. */
+const maxWaitMs = 5000;
+const demandIntervalMs = 500;
+/** Times that work goes back to its queue because targets filled up after it was started. */
+const maxReturns = 10;
+
+export interface EntryAdmission {
+  readonly queued: number;
+  generate(spec: GenerationSpec, sink: GenerationSink): RequestRun;
+  call(spec: ServiceCallSpec, targets: readonly string[], sink: ServiceCallSink): RequestRun;
+  close(): void;
+}
+
+export interface EntryAdmissionDeps {
+  clock: Clock;
+  config: ConfigHolder;
+  routing: Routing;
+  maxQueue: number;
+  /** Names of the other live entries. */
+  otherEntries(): readonly string[];
+  startGeneration(spec: GenerationSpec, sink: GenerationSink): RequestRun;
+  startCall(
+    spec: ServiceCallSpec,
+    targets: readonly string[],
+    sink: ServiceCallSink,
+  ): RequestRun;
+}
+
+interface QueuedRequest extends AdmissionWork {
+  hasRoom(): boolean;
+}
+
+interface Job {
+  org: string;
+  priority: number;
+  deadline: number;
+  cost: number;
+  hasRoom(): boolean;
+  refuse(refusal: Refusal): void;
+  /** Starts the work; it calls one of the two when it is over. */
+  start(over: (actualCost: number) => void, busy: (refusal: Refusal) => void): RequestRun;
+}
+
+export function createEntryAdmission(deps: EntryAdmissionDeps): EntryAdmission {
+  const { clock, config, routing } = deps;
+  const resources = new Map<string, Admission>();
+  const limits = createOrgLimits({ now: () => clock.now(), others: deps.otherEntries });
+  const queued = () => [...resources.values()].reduce((sum, r) => sum + r.queued, 0);
+  let cancelPoll: (() => void) | undefined;
+
+  let cancelDemand = () => {};
+
+  /** Measures demand once an interval, from which the parts of limits follow. */
+  function measureDemand() {
+    limits.demand();
+    cancelDemand = clock.after(demandIntervalMs, measureDemand);
+  }
+  measureDemand();
+
+  function poll() {
+    cancelPoll = undefined;
+    resources.forEach((resource) => resource.drain());
+    if (queued() > 0) cancelPoll = clock.after(pollMs, poll);
+  }
+
+  function resourceOf(name: string): Admission {
+    const resource = resources.get(name) ?? createAdmission({
+      now: () => clock.now(),
+      maxQueue: deps.maxQueue,
+      maxWaitMs,
+      canStart: (work) => (work as QueuedRequest).hasRoom(),
+    });
+    resources.set(name, resource);
+    return resource;
+  }
+
+  const limitsOf = (org: string): LimitDecl => config.view?.declarations.organisations
+    .find(({ name }) => name === org)?.limits ?? {};
+
+  /** Counts the work against the organisation's limits, then queues it. */
+  function submit(resourceName: string, job: Job): RequestRun {
+    const resource = resourceOf(resourceName);
+    const limit = limitsOf(job.org);
+    const { org } = job;
+    let run: RequestRun | undefined;
+    let returns = 0;
+    let over = false;
+
+    function leave() {
+      if (over) return;
+      over = true;
+      limits.leave(org);
+    }
+
+    const refuse = (refusal: Refusal) => {
+      leave();
+      job.refuse(refusal);
+    };
+
+    const work: QueuedRequest = {
+      org,
+      weight: limit.weight ?? 1,
+      priority: job.priority,
+      deadline: job.deadline,
+      cost: job.cost,
+      hasRoom: job.hasRoom,
+      refuse,
+      start() {
+        run = job.start((actualCost) => {
+          leave();
+          resource.settle(work, actualCost);
+          resource.drain();
+        }, (refusal) => {
+          returns += 1;
+          run = undefined;
+          if (returns > maxReturns) refuse(refusal);
+          else resource.putBack(work);
+          cancelPoll ??= clock.after(pollMs, poll);
+        });
+      },
+    };
+
+    const refusal = limits.enter(org, limit);
+    if (refusal) {
+      over = true;
+      job.refuse(refusal);
+    } else {
+      resource.submit(work);
+      if (resource.queued > 0) cancelPoll ??= clock.after(pollMs, poll);
+    }
+    return {
+      receive: (node, message) => run?.receive(node, message),
+      lost: (node) => run?.lost(node),
+      resumed: (node) => run?.resumed(node),
+      cancel() {
+        leave();
+        if (run) run.cancel();
+        else resource.withdraw(work);
+        resource.drain();
+      },
+    };
+  }
+
+  const isBusy = ({ code, ran }: Refusal) => code === 'overloaded' && ran === 'no';
+  const classOf = (cls: string) => (cls === draftClass.name ? draftClass : chatClass);
+
+  return {
+    get queued() {
+      return queued();
+    },
+    generate: (spec, sink) => submit(`model ${spec.model}`, {
+      org: spec.org,
+      priority: classOf(spec.cls).priority,
+      deadline: spec.deadline,
+      cost: generationCost(spec.prompt.length, spec.maxTokens),
+      hasRoom: () => routing.mayGenerate(spec),
+      refuse: sink.refuse,
+      start(over, busy) {
+        let tokens = 0;
+        const cost = () => generationCost(spec.prompt.length, tokens);
+        return deps.startGeneration(spec, {
+          token(token) {
+            tokens += 1;
+            sink.token(token);
+          },
+          end(reason) {
+            sink.end(reason);
+            over(cost());
+          },
+          refuse(refusal) {
+            if (isBusy(refusal)) {
+              busy(refusal);
+              return;
+            }
+            sink.refuse(refusal);
+            over(cost());
+          },
+        });
+      },
+    }),
+    call: (spec, targets, sink) => submit(`targets ${targets.join(' ')}`, {
+      org: spec.org,
+      priority: lookupClass.priority,
+      deadline: spec.deadline,
+      cost: 1,
+      hasRoom: () => routing.mayCall(targets),
+      refuse: sink.refuse,
+      start: (over, busy) => deps.startCall(spec, targets, {
+        result(result) {
+          sink.result(result);
+          over(1);
+        },
+        refuse(refusal) {
+          if (isBusy(refusal)) {
+            busy(refusal);
+            return;
+          }
+          sink.refuse(refusal);
+          over(1);
+        },
+      }),
+    }),
+    close() {
+      cancelPoll?.();
+      cancelDemand();
+    },
+  };
+}
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -2,12 +2,13 @@
 import Emittery from 'emittery';
 import type { Logger } from 'pino';
 import {
-  chooseChain, chooseStage, createConfigHolder, createLeveller, SystemClock, type Clock,
+  createConfigHolder, createLeveller, SystemClock, type Clock,
 } from '@verbenashunt/core';
 import type { EntrySettings, Hello, Message } from '@verbenashunt/schema';
 import {
   createHeartbeats, createPeerMetrics, createPlatformClient, drain, protocolVersion,
 } from '@verbenashunt/wire';
+import { createEntryAdmission } from './admission/admission.js';
 import { createConfigSpread, type ConfigSpread } from './config/spread.js';
 import { createConfigStore } from './config/store.js';
 import { createBodyReader } from './http/body.js';
@@ -16,17 +17,14 @@
 import { resolveHttpOptions } from './http/options.js';
 import { closeHttp, serveEntryHttp } from './http/server.js';
 import { createEntryMetrics } from './metrics.js';
-import { createAgentPeers, type AgentPeer } from './peers/agents.js';
+import { createAgentPeers } from './peers/agents.js';
 import { createCallRecords } from './requests/call-records.js';
 import { createFences } from './requests/fences.js';
 import { createGeneration } from './requests/generation.js';
 import { createRequestRegistry, type RequestRun } from './requests/registry.js';
 import { createEntryRetries } from './requests/retries.js';
 import { createServiceCall } from './requests/service-call.js';
-
-const sameZoneLinkMs = 0.1;
-const otherZoneLinkMs = 0.25;
-const otherRegionLinkMs = 25;
+import { createRouting } from './routing/routing.js';
 
 export interface EntryEvents {
   config: number;
@@ -60,6 +58,7 @@
   const fences = createFences(clock);
   const requestTimeoutMs = cfg.requestTimeoutMs ?? 60_000;
   let stopping = false;
+  let otherEntries: string[] = [];
   let sequence = 0;
   let cancelVmPoll = () => {};
   let spread: ConfigSpread | undefined;
@@ -115,6 +114,8 @@
     try {
       const vms = await platform.listVms();
       peers.update(vms);
+      otherEntries = vms.filter(({ id, role, state }) => role === 'entry' && state === 'live'
+        && id !== cfg.node).map(({ id }) => id);
       spread?.update(vms);
       metrics.agents(peers.list().length);
     } catch {
@@ -123,11 +124,6 @@
     cancelVmPoll = clock.after(cfg.vmPollMs ?? 1000, pollVms);
   }
 
-  function linkMs(zone: string, region: string, to: { zone: string; region: string }) {
-    if (region !== to.region) return otherRegionLinkMs;
-    return zone === to.zone ? sameZoneLinkMs : otherZoneLinkMs;
-  }
-
   /** Creates a run and keeps it registered until it closes. */
   function register<T extends RequestRun>(req: string, create: (closed: () => void) => T): T {
     let closed = false;
@@ -151,16 +147,28 @@
     agent: peers.get,
   };
 
-  function pickTarget(
-    targets: readonly string[],
-    avoid: ReadonlySet<string>,
-  ): AgentPeer | undefined {
-    const able = peers.able()
-      .filter(({ node, state }) => targets.includes(state.target) && !avoid.has(node));
-    const pick = () => able[Math.floor(random() * able.length)];
-    const [a, b] = [pick(), pick()];
-    return a && b && b.own < a.own ? b : a;
-  }
+  const routing = createRouting({ place: cfg, peers, random });
+  const admission = createEntryAdmission({
+    clock,
+    config,
+    routing,
+    maxQueue: cfg.maxQueue ?? 1000,
+    otherEntries: () => otherEntries,
+    startGeneration: (spec, sink) => register(spec.req, (closed) => createGeneration(spec, sink, {
+      ...shared, closed, choose: routing.chain, replace: routing.stage,
+    })),
+    startCall: (spec, targets, sink) => register(spec.req, (closed) => createServiceCall(
+      spec,
+      sink,
+      {
+        ...shared,
+        closed,
+        records,
+        follow: (other) => registry.follow(other, spec.req),
+        choose: (avoid) => routing.target(targets, avoid),
+      },
+    )),
+  });
 
   const readBody = createBodyReader({ maxBufferedBytes: cfg.maxBufferedBytes ?? 67_108_864 });
   const { interrupt, ...callers } = createCallerHandlers({
@@ -177,26 +185,8 @@
       sequence += 1;
       return `${cfg.node}-${incarnation.toString(36)}-${sequence}`;
     },
-    generate: (spec, sink) => register(spec.req, (closed) => createGeneration(spec, sink, {
-      ...shared,
-      closed,
-      choose: ({ model, version, layers }, avoid) => chooseChain({
-        layers,
-        candidates: peers.candidates(model, version).filter(({ node }) => !avoid.has(node)),
-        linkMs: (from, to) => linkMs(from?.zone ?? cfg.zone, from?.region ?? cfg.region, to),
-      }),
-      replace: ({ model, version }, range, avoid) => chooseStage(
-        peers.candidates(model, version).filter(({ node }) => !avoid.has(node)),
-        range,
-      ),
-    })),
-    call: (spec, targets, sink) => register(spec.req, (closed) => createServiceCall(spec, sink, {
-      ...shared,
-      closed,
-      records,
-      follow: (other) => registry.follow(other, spec.req),
-      choose: (avoid) => pickTarget(targets, avoid),
-    })),
+    generate: admission.generate,
+    call: admission.call,
   });
 
   const operators = createOperatorHandlers({
@@ -258,6 +248,7 @@
       if (!whole) interrupt();
       cancelVmPoll();
       spread?.close();
+      admission.close();
       peers.close();
       heartbeats.close();
       await Promise.all([closeHttp(http, clock, whole), platform.close()]);
--- a/packages/entry/src/http/callers.ts
+++ b/packages/entry/src/http/callers.ts
@@ -1,7 +1,8 @@
 /** The callers' API of an entry: chat, models and plain services. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
-  createRefusal, isRepeatable, sha256, type Clock, type ConfigHolder, type ConfigView, type Refusal,
+  classOfChat, createRefusal, isRepeatable, sha256,
+  type Clock, type ConfigHolder, type ConfigView, type Refusal,
 } from '@verbenashunt/core';
 import type { OrganisationDecl } from '@verbenashunt/schema';
 import type { EntryMetrics, RequestLabels } from '../metrics.js';
@@ -16,7 +17,6 @@
 import { headersOf, methodOf, targetOf } from './forward.js';
 
 const defaultMaxTokens = 256;
-const chatPriority = 5;
 const millisecondsPerSecond = 1000;
 
 export interface CallerDeps {
@@ -125,7 +125,9 @@
       const sink = createChatSink(res, {
         id, model: chat.model, createdSeconds, promptTokens: prompt.length,
       }, chat.stream ?? false, streamBounds);
-      const labels = { org: admitted.org.name, cls: 'chat' };
+      const maxTokens = chat.max_tokens ?? defaultMaxTokens;
+      const { name: cls, priority } = classOfChat(maxTokens);
+      const labels = { org: admitted.org.name, cls };
       const caller = measured(sink, labels);
       const run = deps.generate({
         req: id,
@@ -134,8 +136,8 @@
         version: found.model.version,
         layers: found.model.layers,
         prompt,
-        maxTokens: chat.max_tokens ?? defaultMaxTokens,
-        priority: chatPriority,
+        maxTokens,
+        priority,
         deadline: clock.now() + deps.requestTimeoutMs,
       }, caller);
       own(res, run, () => caller.refuse(createRefusal('interrupted')));
--- a/packages/entry/src/peers/agents.ts
+++ b/packages/entry/src/peers/agents.ts
@@ -1,7 +1,7 @@
 /** The agents of this entry: candidates by the platform's list, serving by their own word. */
 import Emittery from 'emittery';
 import {
-  createDirectory, ProtocolError, type Clock, type Directory, type StageCandidate,
+  correctedActive, createDirectory, ProtocolError, type Clock, type Directory, type StageCandidate,
   type SubsetOptions,
 } from '@verbenashunt/core';
 import type {
@@ -24,6 +24,8 @@
   state: TargetState;
   /** Requests of this entry that the agent holds. */
   own: number;
+  /** The same when the agent last reported its load. */
+  ownAtReport?: number;
   send(message: Message): void;
 }
 
@@ -87,6 +89,7 @@
     incarnation: peer.incarnation,
     state,
     own: 0,
+    ownAtReport: 0,
     send,
   };
 }
@@ -100,7 +103,8 @@
   lo,
   hi,
   layerMs: peer.state.accelerator?.layerMsPerToken ?? 0,
-  active: Math.max(peer.own, peer.state.load.active),
+  prefillMs: peer.state.accelerator?.layerMsPerPrefillToken ?? 0,
+  active: correctedActive(peer.state.load.active, peer.ownAtReport ?? 0, peer.own),
   limit: Math.max(1, Math.floor(peer.state.load.limit * share)),
 });
 
@@ -158,7 +162,11 @@
       directory.heard(peer.node, peer.state, clock.now());
       reconcileSoon();
     }
-    if ('load' in message && message.load) Object.assign(peer.state, { load: message.load });
+    if ('load' in message && message.load) {
+      Object.assign(peer, {
+        state: { ...peer.state, load: message.load }, ownAtReport: peer.own,
+      });
+    }
     deps.onMessage(peer.node, message);
   }
 
--- /dev/null
+++ b/packages/entry/src/routing/routing.ts
@@ -0,0 +1,91 @@
+/** Choice of targets from what this entry knows of its agents. */
+import {
+  chooseChain, chooseService, chooseStage, draftClass, hasFreeChain, limitToDepth,
+  type Chain, type RequestSize, type StageCandidate,
+} from '@verbenashunt/core';
+import type { LayerRange } from '@verbenashunt/schema';
+import type { AgentPeer, AgentPeers } from '../peers/agents.js';
+import type { GenerationSpec } from '../requests/generation-spec.js';
+
+const sameZoneLinkMs = 0.1;
+const otherZoneLinkMs = 0.25;
+const otherRegionLinkMs = 25;
+
+interface Place {
+  zone: string;
+  region: string;
+}
+
+export interface Routing {
+  chain(spec: GenerationSpec, avoid: ReadonlySet<string>): Chain | undefined;
+  /** Chooses a target for one range of layers. */
+  stage(spec: GenerationSpec, range: LayerRange, avoid: ReadonlySet<string>): string | undefined;
+  target(targets: readonly string[], avoid: ReadonlySet<string>): AgentPeer | undefined;
+  /** Whether a generation should start now: a chain has room, or none could have any. */
+  mayGenerate(spec: GenerationSpec): boolean;
+  /** Whether a call should start now: a target has room, or there is none. */
+  mayCall(targets: readonly string[]): boolean;
+}
+
+export interface RoutingDeps {
+  place: Place;
+  peers: AgentPeers;
+  random: () => number;
+}
+
+function linkMs(from: Place, to: Place) {
+  if (from.region !== to.region) return otherRegionLinkMs;
+  return from.zone === to.zone ? sameZoneLinkMs : otherZoneLinkMs;
+}
+
+const sizeOf = ({ prompt, maxTokens }: GenerationSpec): RequestSize => ({
+  promptTokens: prompt.length, answerTokens: maxTokens,
+});
+
+export function createRouting({ place, peers, random }: RoutingDeps): Routing {
+  /** Targets of the model with the concurrency that the request's class may fill. */
+  function candidatesFor({
+    model, version, layers, cls,
+  }: GenerationSpec): StageCandidate[] {
+    const candidates = limitToDepth(peers.candidates(model, version), layers);
+    if (cls !== draftClass.name) return candidates;
+    return candidates.map((candidate) => ({
+      ...candidate, limit: Math.max(1, Math.floor(candidate.limit * draftClass.fill)),
+    }));
+  }
+
+  const servicesOf = (targets: readonly string[], avoid?: ReadonlySet<string>) => peers.able()
+    .filter(({ node, state }) => targets.includes(state.target) && !avoid?.has(node))
+    .map(({
+      node, zone, own, state,
+    }) => ({
+      node, zone, active: Math.max(own, state.load.active), limit: state.load.limit,
+    }));
+
+  return {
+    chain: (spec, avoid) => chooseChain({
+      layers: spec.layers,
+      candidates: candidatesFor(spec).filter(({ node }) => !avoid.has(node)),
+      linkMs: (from, to) => linkMs(from ?? place, to),
+      size: sizeOf(spec),
+      random,
+    }),
+    stage: (spec, range, avoid) => chooseStage(
+      candidatesFor(spec).filter(({ node }) => !avoid.has(node)),
+      range,
+    ),
+    target(targets, avoid) {
+      const chosen = chooseService(servicesOf(targets, avoid), place.zone, random);
+      return chosen && peers.get(chosen.node);
+    },
+    mayGenerate(spec) {
+      const candidates = candidatesFor(spec);
+      const anyRoom = candidates.map((candidate) => ({ ...candidate, active: 0 }));
+      return hasFreeChain(spec.layers, candidates) || !hasFreeChain(spec.layers, anyRoom);
+    },
+    mayCall(targets) {
+      const services = servicesOf(targets);
+      return services.length === 0 || services.some(({ active, limit }) => active < limit);
+    },
+  };
+}
--- a/packages/stand-ins/src/load/model/run.ts
+++ b/packages/stand-ins/src/load/model/run.ts
@@ -6,6 +6,9 @@
 import { createRecorder, type RunResult } from './results.js';
 import type { ModelRunSpec, ModelWorld, RequestStream } from './spec.js';
 
+/** Arrivals during the ramp as a multiple of those after it. */
+const rampFactor = 8;
+
 export function runModel(spec: ModelRunSpec): RunResult {
   const loop = createEventLoop();
   const random = createRandom(spec.seed);
@@ -42,10 +45,13 @@
 
   let nextId = 0;
   function arrivals(stream: RequestStream) {
-    loop.after(exponential(random, 1000 / stream.requestsPerSecond), () => {
+    const ramping = loop.now() < spec.rampMs;
+    const perSecond = stream.requestsPerSecond * (ramping ? rampFactor : 1);
+    loop.after(exponential(random, 1000 / perSecond), () => {
       nextId += 1;
       const entry = entries[Math.floor(random() * entries.length)]!;
-      const spreadOfLength = 0.5 + random();
+      // Answers of the ramp are cut short at random, as those under way at any moment are.
+      const spreadOfLength = (0.5 + random()) * (ramping ? random() : 1);
       const answerTokens = Math.max(2, Math.round(stream.answerTokens * spreadOfLength));
       entry.arrive(`r${nextId}`, stream, answerTokens);
       arrivals(stream);
--- a/packages/stand-ins/src/load/model/spec.ts
+++ b/packages/stand-ins/src/load/model/spec.ts
@@ -47,6 +47,8 @@
   depth?: number;
   /** Time between load reports, which is also how stale they get, in milliseconds. */
   reportMs: number;
+  /** Time at the start in which the fleet is filled, in milliseconds. */
+  rampMs: number;
   warmUpMs: number;
   durationMs: number;
   /** Longest wait that admission promises, in milliseconds. */
