--- a/bench/load.ts
+++ b/bench/load.ts
@@ -9,7 +9,7 @@
   type RequestStream, type RunResult,
 } from '@verbenashunt/stand-ins';
 import {
-  baseSpec, deploymentOf, policies, streamsOf, type Deployment,
+  baseSpec, deploymentOf, greedyPins, policies, streamsOf, type Deployment,
 } from './support/experiments.js';
 
 type PolicyName = keyof typeof policies;
@@ -59,8 +59,11 @@
 
 function saturated(deployment: Deployment) {
   title('saturated at 1.2 times the bound', deployment);
+  const streams = streamsOf(deployment, 1.2);
   (['router', ...baselines] as PolicyName[])
-    .forEach((policy) => run('saturated', deployment, streamsOf(deployment, 1.2), policy));
+    .forEach((policy) => run('saturated', deployment, streams, policy));
+  print('  the router on the greedy placement');
+  run('saturated, greedy placement', deployment, streams, 'router', { pins: greedyPins(deployment) });
 }
 
 /** Largest deviation of an organisation's share of the tokens from its weight's share. */
@@ -108,7 +111,7 @@
   const faults: ModelFault[] = [{
     atMs: lossAtMs, apply: (world) => lost.forEach((name) => world.kill(name, noticeMs)),
   }];
-  const result = run('zone loss', deployment, streamsOf(deployment, 0.4), 'router', { faults });
+  const result = run('zone loss', deployment, streamsOf(deployment, 0.4), 'router', { faults, durationMs: 7000 });
   const mean = (from: number, to: number) => result.timeline.slice(from, to)
     .reduce((sum, n) => sum + n, 0) / (to - from);
   const before = mean(lossAtMs / 100 - 20, lossAtMs / 100);
--- a/bench/support/experiments.ts
+++ b/bench/support/experiments.ts
@@ -1,6 +1,7 @@
 /** Experiments of the decision benches. */
 import {
-  planPlacement, throughputBound, type Fleet, type PlacementPlan,
+  greedyPlacement, planPlacement, throughputBound, toMember,
+  type Fleet, type PlacementPlan, type PlannedPin,
 } from '@verbenashunt/core';
 import {
   fullViewPolicy, leastLoadPolicy, powerOfTwoPolicy, randomPolicy, roundRobinPolicy, routerPolicy,
@@ -57,20 +58,38 @@
 /** Requests that an agent admits, whatever it holds of the model. */
 const limitOf = () => 1000;
 
+/** Time between tokens that the ramp reckons with, and its arrivals over the usual ones. */
+const rampGapMs = 40;
+const rampFactor = 8;
+
+function rampMsOf({ models }: Fleet): number {
+  const answer = models.reduce((sum, m) => sum + m.share * m.answerTokens, 0);
+  return (answer * rampGapMs) / rampFactor;
+}
+
 export const baseSpec = (
   { fleet, plan }: Deployment,
   streams: RequestStream[],
 ): Omit<ModelRunSpec, 'policy'> => ({
   seed: 1,
   depth: 2.4,
-  rampMs: 1500,
+  rampMs: rampMsOf(fleet),
   fleet,
   pins: plan.pins,
   entries: 3,
   streams,
   limitOf,
   reportMs: 500,
-  warmUpMs: 5000,
+  warmUpMs: 6000,
   durationMs: 4000,
   maxWaitMs: 2000,
 });
+
+/** Placement by greedy coverage, for comparison. */
+export function greedyPins({ fleet }: Deployment): PlannedPin[] {
+  const model = fleet.models[0]!;
+  const members = fleet.targets.map((target) => toMember(target, model));
+  return greedyPlacement(model.layers, members).map(({ lo, hi, member }) => ({
+    target: member.target.name, pin: { model: model.name, lo, hi },
+  }));
+}
--- a/packages/stand-ins/src/load/model/run.ts
+++ b/packages/stand-ins/src/load/model/run.ts
@@ -9,6 +9,9 @@
 /** Arrivals during the ramp as a multiple of those after it. */
 const rampFactor = 8;
 
+/** Requests of the ramp stand for those under way: their prompts have run already. */
+const underWay = (stream: RequestStream): RequestStream => ({ ...stream, promptTokens: 1 });
+
 export function runModel(spec: ModelRunSpec): RunResult {
   const loop = createEventLoop();
   const random = createRandom(spec.seed);
@@ -50,10 +53,9 @@
     loop.after(exponential(random, 1000 / perSecond), () => {
       nextId += 1;
       const entry = entries[Math.floor(random() * entries.length)]!;
-      // Answers of the ramp are cut short at random, as those under way at any moment are.
       const spreadOfLength = (0.5 + random()) * (ramping ? random() : 1);
       const answerTokens = Math.max(2, Math.round(stream.answerTokens * spreadOfLength));
-      entry.arrive(`r${nextId}`, stream, answerTokens);
+      entry.arrive(`r${nextId}`, ramping ? underWay(stream) : stream, answerTokens);
       arrivals(stream);
     });
   }
