--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -6,7 +6,8 @@
 } from '@verbenashunt/core';
 import type { EntrySettings, Hello, Message } from '@verbenashunt/schema';
 import {
-  createHeartbeats, createPeerMetrics, createPlatformClient, drain, protocolVersion,
+  createDialer, createHeartbeats, createPeerMetrics, createPlatformClient, drain, protocolVersion,
+  resolvePeerTls,
 } from '@verbenashunt/wire';
 import { createEntryAdmission } from './admission/admission.js';
 import { createConfigSpread, type ConfigSpread } from './config/spread.js';
@@ -25,6 +26,10 @@
 import { createEntryRetries } from './requests/retries.js';
 import { createServiceCall } from './requests/service-call.js';
 import { createRouting } from './routing/routing.js';
+import { createUsage } from './usage/usage.js';
+
+/** Longest wait at a stop for the usage records to be stored. */
+const usageFlushMs = 5000;
 
 export interface EntryEvents {
   config: number;
@@ -85,6 +90,9 @@
     revision: config.revision,
   });
 
+  const usage = createUsage({
+    clock, node: cfg.node, incarnation, platform, registry: metrics.registry,
+  });
   const registry = createRequestRegistry(metrics.protocolErrors);
 
   function receive(node: string, message: Message) {
@@ -100,6 +108,7 @@
     random,
     hello,
     heartbeats,
+    dial: (options) => createDialer({ ...options, tls: resolvePeerTls(cfg) }),
     count: peerMetrics.link,
     onMessage: receive,
     onOpen: ({ peer, send }) => leveller.heard(peer.revision, send),
@@ -185,8 +194,10 @@
       sequence += 1;
       return `${cfg.node}-${incarnation.toString(36)}-${sequence}`;
     },
-    generate: admission.generate,
-    call: admission.call,
+    generate: (spec, caller) => usage
+      .generation(spec, caller, (sink) => admission.generate(spec, sink)),
+    call: (spec, targets, caller) => usage
+      .call(spec, caller, (sink) => admission.call(spec, targets, sink)),
   });
 
   const operators = createOperatorHandlers({
@@ -251,7 +262,8 @@
       admission.close();
       peers.close();
       heartbeats.close();
-      await Promise.all([closeHttp(http, clock, whole), platform.close()]);
+      await Promise.all([closeHttp(http, clock, whole), usage.close(usageFlushMs)]);
+      await platform.close();
       log.info({ whole }, 'stopped');
       return whole;
     },
