--- a/packages/entry/src/admission/admission.ts
+++ b/packages/entry/src/admission/admission.ts
@@ -50,8 +50,15 @@
   cost: number;
   hasRoom(): boolean;
   refuse(refusal: Refusal): void;
-  /** Starts the work; it calls one of the two when it is over. */
-  start(over: (actualCost: number) => void, busy: (refusal: Refusal) => void): RequestRun;
+  /**
+   * Starts the work; it calls one of the two when it is over. Agents fence a request that gave
+   * up, so each start after the first needs an id of its own.
+   */
+  start(
+    suffix: string,
+    over: (actualCost: number) => void,
+    busy: (refusal: Refusal) => void,
+  ): RequestRun;
 }
 
 export function createEntryAdmission(deps: EntryAdmissionDeps): EntryAdmission {
@@ -119,7 +126,8 @@
       hasRoom: job.hasRoom,
       refuse,
       start() {
-        run = job.start((actualCost) => {
+        const suffix = returns === 0 ? '' : `.${returns}`;
+        run = job.start(suffix, (actualCost) => {
           leave();
           resource.settle(work, actualCost);
           resource.drain();
@@ -168,10 +176,10 @@
       cost: generationCost(spec.prompt.length, spec.maxTokens),
       hasRoom: () => routing.mayGenerate(spec),
       refuse: sink.refuse,
-      start(over, busy) {
+      start(suffix, over, busy) {
         let tokens = 0;
         const cost = () => generationCost(spec.prompt.length, tokens);
-        return deps.startGeneration(spec, {
+        return deps.startGeneration({ ...spec, req: spec.req + suffix }, {
           token(token) {
             tokens += 1;
             sink.token(token);
@@ -198,13 +206,14 @@
       cost: 1,
       hasRoom: () => routing.mayCall(targets),
       refuse: sink.refuse,
-      start: (over, busy) => deps.startCall(spec, targets, {
+      start: (suffix, over, busy) => deps.startCall({ ...spec, req: spec.req + suffix }, targets, {
         result(result) {
           sink.result(result);
           over(1);
         },
         refuse(refusal) {
-          if (isBusy(refusal)) {
+          // A call that may not be repeated has been recorded under its id; it ends here.
+          if (isBusy(refusal) && spec.repeatable) {
             busy(refusal);
             return;
           }
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -11,3 +11,4 @@
 export * from './usage/log.js';
 export * from './usage/meter.js';
 export * from './usage/totals.js';
+export * from './admission/admission.js';
--- /dev/null
+++ b/test/decisions/entry-admission.test.ts
@@ -0,0 +1,98 @@
+/** Admission as an entry wires it. */
+import { expect, test } from 'vitest';
+import { createConfigHolder, createRefusal, ManualClock } from '@verbenashunt/core';
+import { createEntryAdmission, type GenerationSink, type GenerationSpec } from '@verbenashunt/entry';
+
+const spec = {
+  req: 'r1', org: 'org', cls: 'chat', model: 'm', version: 'v1', layers: 4, prompt: [1, 2], maxTokens: 8, priority: 5, deadline: 10_000,
+} satisfies GenerationSpec;
+
+function createWorld(busyTimes: number) {
+  const clock = new ManualClock();
+  const started: string[] = [];
+  const outcomes: string[] = [];
+  let room = true;
+  const admission = createEntryAdmission({
+    clock,
+    config: createConfigHolder(() => {}),
+    maxQueue: 10,
+    otherEntries: () => [],
+    routing: {
+      chain: () => undefined,
+      stage: () => undefined,
+      target: () => undefined,
+      mayGenerate: () => room,
+      mayCall: () => room,
+    },
+    startGeneration(given, sink) {
+      started.push(given.req);
+      if (started.length <= busyTimes) sink.refuse(createRefusal('overloaded'));
+      else sink.end('stop');
+      return {
+        receive() {}, lost() {}, resumed() {}, cancel() {},
+      };
+    },
+    startCall() {
+      throw createRefusal('internal');
+    },
+  });
+  const sink: GenerationSink = {
+    token() {},
+    end: (reason) => outcomes.push(reason),
+    refuse: ({ code }) => outcomes.push(code),
+  };
+  return {
+    clock,
+    started,
+    outcomes,
+    admission,
+    generate: () => admission.generate(spec, sink),
+    setRoom(value: boolean) {
+      room = value;
+    },
+  };
+}
+
+test('each start of a request has an id of its own', () => {
+  const {
+    clock, started, outcomes, generate,
+  } = createWorld(2);
+  generate();
+  clock.advance(200);
+  expect(started).toEqual(['r1', 'r1.1', 'r1.2']);
+  expect(outcomes).toEqual(['stop']);
+});
+
+test('a request that finds no room again and again is refused before its deadline', () => {
+  const { clock, outcomes, generate } = createWorld(100);
+  generate();
+  clock.advance(1000);
+  expect(outcomes).toEqual(['overloaded']);
+});
+
+test('a cancelled request leaves the queue', () => {
+  const {
+    clock, started, admission, generate, setRoom,
+  } = createWorld(0);
+  setRoom(false);
+  const run = generate();
+  expect(admission.queued).toBe(1);
+  run.cancel();
+  setRoom(true);
+  clock.advance(200);
+  expect(admission.queued).toBe(0);
+  expect(started).toEqual([]);
+});
+
+test('work waits for room and starts when it is there', () => {
+  const {
+    clock, started, outcomes, generate, setRoom,
+  } = createWorld(0);
+  setRoom(false);
+  generate();
+  clock.advance(100);
+  expect(started).toEqual([]);
+  setRoom(true);
+  clock.advance(100);
+  expect(outcomes).toEqual(['stop']);
+});
