--- a/packages/stand-ins/src/engine/engine.ts
+++ b/packages/stand-ins/src/engine/engine.ts
@@ -114,10 +114,9 @@
       if (session.take(op)) accept(op, session.output);
     });
     lines.on('error', () => res.destroy());
-    lines.on('close', () => {
-      session.detach(send, name ? options.resumeGraceMs : 0);
-      res.end();
-    });
+    lines.on('close', () => res.end());
+    // A caller that dies leaves its request without an end; the answer closes in every case.
+    res.on('close', () => session.detach(send, name ? options.resumeGraceMs : 0));
     session.attach(send, after);
   }
 
