Measure the slopes of an entry and an agent

A new connection no longer counts as used, and an entry reads the platform's list every 40 ms for each VM in it, since at 1,880 VMs a read each second would be about 300 KB/s by the size of the list's entries.

--- /dev/null
+++ b/bench/capacity/fit.ts
@@ -0,0 +1,36 @@
+/** Straight lines through measured points. */
+
+export interface Point {
+  x: number;
+  y: number;
+}
+
+export interface Fit {
+  slope: number;
+  intercept: number;
+  /** Standard error of the slope. */
+  slopeError: number;
+  /** Share of the variance that the line explains. */
+  r2: number;
+}
+
+const sum = (values: number[]) => values.reduce((total, value) => total + value, 0);
+
+/** Least squares through three or more points. */
+export function fitLine(points: readonly Point[]): Fit {
+  const n = points.length;
+  const meanX = sum(points.map(({ x }) => x)) / n;
+  const meanY = sum(points.map(({ y }) => y)) / n;
+  const sxx = sum(points.map(({ x }) => (x - meanX) ** 2));
+  const sxy = sum(points.map(({ x, y }) => (x - meanX) * (y - meanY)));
+  const syy = sum(points.map(({ y }) => (y - meanY) ** 2));
+  const slope = sxy / sxx;
+  const intercept = meanY - slope * meanX;
+  const residual = sum(points.map(({ x, y }) => (y - intercept - slope * x) ** 2));
+  return {
+    slope,
+    intercept,
+    slopeError: Math.sqrt(residual / Math.max(1, n - 2) / sxx),
+    r2: syy === 0 ? 1 : 1 - residual / syy,
+  };
+}
--- a/packages/core/src/membership/directory.ts
+++ b/packages/core/src/membership/directory.ts
@@ -19,6 +19,16 @@
 const slowStartMs = 10_000;
 const minShare = 0.1;
 
+/** Shortest time between reads of the platform's list for each VM in it, in milliseconds. */
+const listPollPerVmMs = 40;
+
+/**
+ * Time between an entry's reads of the platform's list. It grows with the list, so that reading
+ * costs each entry the same; the first entry that sees a VM leaving tells its agent, and that
+ * tells all entries.
+ */
+export const listPollMs = (minMs: number, vms: number) => Math.max(minMs, vms * listPollPerVmMs);
+
 interface Known {
   vm: Vm;
   connected: boolean;
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -2,7 +2,7 @@
 import Emittery from 'emittery';
 import type { Logger } from 'pino';
 import {
-  chooseChain, createConfigHolder, SystemClock, type Clock,
+  chooseChain, createConfigHolder, listPollMs, SystemClock, type Clock,
 } from '@verbenashunt/core';
 import type { EntrySettings, Hello, Message } from '@verbenashunt/schema';
 import {
@@ -125,7 +125,8 @@
     } catch {
       // The last list stays in use; agents speak for themselves.
     }
-    cancelVmPoll = clock.after(cfg.vmPollMs ?? 1000, pollVms);
+    const periodMs = listPollMs(cfg.vmPollMs ?? 1000, peers.sizes.listed);
+    cancelVmPoll = clock.after(periodMs * (0.75 + random() / 2), pollVms);
   }
 
   async function pollHead() {
--- a/packages/wire/src/connection.ts
+++ b/packages/wire/src/connection.ts
@@ -64,7 +64,7 @@
   let peer: Hello | undefined;
   let reason: Error | undefined;
   let heardAt = clock.now();
-  let usedAt = heardAt;
+  let usedAt = Number.MIN_SAFE_INTEGER;
   let corked = false;
   const decoder = createFrameDecoder(() => (peer ? maxFrameBytes : maxHelloBytes));
 
