--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -2,13 +2,14 @@
 import Emittery from 'emittery';
 import type { Logger } from 'pino';
 import {
-  chooseChain, createConfigHolder, listPollMs, SystemClock, type Clock,
+  chooseChain, chooseStage, createConfigHolder, createLeveller, listPollMs, SystemClock, type Clock,
 } from '@verbenashunt/core';
 import type { EntrySettings, Hello, Message } from '@verbenashunt/schema';
 import {
-  createHeartbeats, createPeerMetrics, createPlatformClient, drain, protocolVersion,
-  type Connection,
+  createDialer, createHeartbeats, createPeerMetrics, createPlatformClient, drain, protocolVersion,
+  resolvePeerTls,
 } from '@verbenashunt/wire';
+import { createConfigSpread, type ConfigSpread } from './config/spread.js';
 import { createConfigStore } from './config/store.js';
 import { createBodyReader } from './http/body.js';
 import { createCallerHandlers } from './http/callers.js';
@@ -18,6 +19,7 @@
 import { createEntryMetrics } from './metrics.js';
 import { createAgentPeers, type AgentPeer } from './peers/agents.js';
 import { createCallRecords } from './requests/call-records.js';
+import { createFences } from './requests/fences.js';
 import { createGeneration } from './requests/generation.js';
 import { createRequestRegistry, type RequestRun } from './requests/registry.js';
 import { createEntryRetries } from './requests/retries.js';
@@ -36,6 +38,7 @@
 
 export interface Entry {
   readonly httpPort: number;
+  readonly peerPort: number;
   readonly events: Emittery<EntryEvents>;
   /**
    * Takes no new requests, waits for those in flight, then closes. Resolves to whether all ran to
@@ -56,23 +59,25 @@
   const events = new Emittery<EntryEvents>();
   const metrics = createEntryMetrics();
   const platform = createPlatformClient(cfg.platformUrl);
-  const store = createConfigStore(platform);
   const records = createCallRecords(platform);
   const retries = createEntryRetries(clock);
+  const fences = createFences(clock);
   const requestTimeoutMs = cfg.requestTimeoutMs ?? 60_000;
   let stopping = false;
   let sequence = 0;
   let cancelVmPoll = () => {};
-  let cancelHeadPoll = () => {};
+  let spread: ConfigSpread | undefined;
 
-  /* eslint-disable @typescript-eslint/no-use-before-define -- each refers to the other */
   const config = createConfigHolder((view) => {
     metrics.revision(view.revision);
     log.info({ revision: view.revision }, 'configuration in force');
-    peers.broadcast({ t: 'config', revision: view.revision, record: config.record! });
+    spread?.adopted();
     events.emit('config', view.revision);
   });
-  /* eslint-enable @typescript-eslint/no-use-before-define */
+  const leveller = createLeveller(config);
+  const store = createConfigStore({
+    platform, clock, random, config,
+  });
 
   const hello = (): Hello => ({
     t: 'hello',
@@ -90,18 +95,10 @@
   });
   const registry = createRequestRegistry(metrics.protocolErrors);
 
-  /** Brings a peer forward, or asks it for what it has seen beyond this process. */
-  function levelConfig(connection: Connection) {
-    const { revision } = connection.peer;
-    if (config.record && revision < config.revision) {
-      connection.send({ t: 'config', revision: config.revision, record: config.record });
-    }
-    if (revision > config.revision) connection.send({ t: 'configAsk', revision: config.revision });
-  }
-
   function receive(node: string, message: Message) {
-    if (message.t === 'config') config.offer(message.record);
-    else registry.receive(node, message);
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- each refers to the other
+    leveller.receive(message, (answer) => peers.get(node)?.send(answer));
+    registry.receive(node, message);
   }
 
   const peerMetrics = createPeerMetrics(metrics.registry);
@@ -111,16 +108,23 @@
     random,
     hello,
     heartbeats,
+    dial: (options) => createDialer({ ...options, tls: resolvePeerTls(cfg) }),
+    drained: (target) => config.view?.operations.drains.has(target) ?? false,
     count: peerMetrics.link,
     onMessage: receive,
-    onOpen: levelConfig,
+    onOpen: ({ peer, send }) => leveller.heard(peer.revision, send),
     onLost: registry.lost,
-    onResumed: registry.resumed,
+    onResumed(node) {
+      registry.resumed(node);
+      fences.resumed(node, peers.get(node)?.send);
+    },
   });
 
   async function pollVms() {
     try {
-      peers.update(await platform.listVms());
+      const vms = await platform.listVms();
+      peers.update(vms);
+      spread?.update(vms);
       metrics.agents(peers.list().length);
     } catch {
       // The last list stays in use; agents speak for themselves.
@@ -129,16 +133,6 @@
     cancelVmPoll = clock.after(periodMs * (0.75 + random() / 2), pollVms);
   }
 
-  async function pollHead() {
-    try {
-      const record = await store.readHead();
-      if (record) config.offer(record);
-    } catch {
-      // Serving goes on with the revision in force.
-    }
-    cancelHeadPoll = clock.after(cfg.headPollMs ?? 1000, pollHead);
-  }
-
   function linkMs(zone: string, region: string, to: { zone: string; region: string }) {
     if (region !== to.region) return otherRegionLinkMs;
     return zone === to.zone ? sameZoneLinkMs : otherZoneLinkMs;
@@ -156,7 +150,15 @@
   }
 
   const shared = {
-    clock, random, retries, entry: cfg.node, revision: () => config.revision, agent: peers.get,
+    clock,
+    random,
+    retries,
+    fence(node: string, req: string, attempt: number) {
+      fences.send(node, { t: 'cancel', req, attempt }, peers.get(node)?.send);
+    },
+    entry: cfg.node,
+    revision: () => config.revision,
+    agent: peers.get,
   };
 
   function pickTarget(
@@ -194,6 +196,10 @@
           candidates: peers.candidates(model, version).filter(({ node }) => !avoid.has(node)),
           linkMs: (from, to) => linkMs(from?.zone ?? cfg.zone, from?.region ?? cfg.region, to),
         }),
+        replace: ({ model, version }, range, avoid) => chooseStage(
+          peers.candidates(model, version).filter(({ node }) => !avoid.has(node)),
+          range,
+        ),
       })))),
     call: (spec, targets, caller) => usage.call(spec, caller, (sink) => (
       register(spec.req, (closed) => createServiceCall(spec, sink, {
@@ -210,8 +216,6 @@
     store,
     readBody,
     bootstrapOperatorHash: cfg.bootstrapOperatorHash,
-    wall: () => clock.wall(),
-    committed: (record) => config.offer(record),
     state: () => ({
       node: cfg.node,
       revision: config.revision,
@@ -220,7 +224,22 @@
     }),
   });
 
-  await Promise.all([pollVms(), pollHead()]);
+  spread = await createConfigSpread({
+    clock,
+    random,
+    config,
+    leveller,
+    store,
+    hello,
+    heartbeats,
+    node: cfg.node,
+    zone: cfg.zone,
+    host: cfg.host ?? '127.0.0.1',
+    peerPort: cfg.peerPort,
+    pollMs: cfg.headPollMs ?? 1000,
+    broadcast: peers.broadcast,
+  });
+  await pollVms();
   const http = await serveEntryHttp(resolveHttpOptions(cfg, () => stopping), {
     health: {
       ready: () => config.view !== undefined && !stopping,
@@ -236,6 +255,7 @@
 
   return {
     httpPort: http.port,
+    peerPort: spread.port,
     events,
     async stop(hurry) {
       stopping = true;
@@ -249,7 +269,7 @@
       });
       if (!whole) interrupt();
       cancelVmPoll();
-      cancelHeadPoll();
+      spread?.close();
       peers.close();
       heartbeats.close();
       await Promise.all([closeHttp(http, clock, whole), usage.close(usageFlushMs)]);
