--- a/packages/entry/src/requests/generation-spec.ts
+++ b/packages/entry/src/requests/generation-spec.ts
@@ -46,8 +46,6 @@
   fence(node: string, req: string, attempt: number): void;
   /** A failure was answered in this way. */
   recovered?(way: RecoveryWay): void;
-  /** The target of a node crashed while it ran this request; false gives the request up. */
-  crashed?(spec: GenerationSpec, node: string): boolean;
   /** The generation is over; no further frame will be heard. */
   closed(): void;
 }
--- a/packages/entry/src/requests/generation.ts
+++ b/packages/entry/src/requests/generation.ts
@@ -83,7 +83,7 @@
 
   function refuse(code: RefusalCode) {
     close();
-    const told = ran && code !== 'quarantined' ? 'interrupted' : code;
+    const told = ran ? 'interrupted' : code;
     sink.refuse(createRefusal(told, {
       ...(delivered.length > 0 ? { detail: `after ${delivered.length} tokens` } : {}),
       ...(ran ? { ran: 'unknown' } : {}),
@@ -277,9 +277,7 @@
   }
 
   function failed(node: string, message: Extract<Message, { t: 'fail' }>) {
-    const crashed = message.code === 'target_lost' && ran;
-    if (crashed && deps.crashed?.(spec, node) === false) refuse('quarantined');
-    else if (message.code === 'hop_lost' && message.node) hopLost(message.node);
+    if (message.code === 'hop_lost' && message.node) hopLost(message.node);
     else fault([node]);
   }
 
--- a/packages/schema/src/validators.ts
+++ b/packages/schema/src/validators.ts
@@ -45,7 +45,6 @@
   row: typed<platformTypes.Row>(platform.validateRow),
   rows: typed<platformTypes.Rows>(platform.validateRows),
   callRecord: typed<platformTypes.CallRecord>(platform.validateCallRecord),
-  quarantineRecord: typed<platformTypes.QuarantineRecord>(platform.validateQuarantineRecord),
   usageBatch: typed<platformTypes.UsageBatch>(platform.validateUsageBatch),
   vmList: typed<platformTypes.VmList>(platform.validateVmList),
   vm: typed<platformTypes.Vm>(platform.validateVm),
