Test that fenced attempts reach no engine

Seen failing: without the check of the attempt a step of a fenced attempt reached the engine; without the fence an offer after its cancel was accepted. recovery.test.ts passed without the check of the attempt: positions that ran are trimmed there in any case.

--- /dev/null
+++ b/test/requests/fences.test.ts
@@ -0,0 +1,92 @@
+/** Frames of fenced attempts reach no engine, and a late offer stays refused. */
+import { expect, test } from 'vitest';
+import { ManualClock } from '@verbenashunt/core';
+import { createStageTable } from '@verbenashunt/agent';
+import type { EngineOp, Message, Offer } from '@verbenashunt/schema';
+
+const hop = {
+  node: 'b', host: 'b', port: 1, incarnation: 1,
+};
+
+const offer = (attempt: number): Offer => ({
+  t: 'offer',
+  req: 'r',
+  attempt,
+  incarnation: 1,
+  revision: 1,
+  org: 'o',
+  cls: 'c',
+  model: 'm',
+  version: 'v',
+  range: { lo: 4, hi: 8 },
+  index: 1,
+  stages: 3,
+  next: hop,
+  entry: 'e',
+  timeLeftMs: 1000,
+  priority: 5,
+  maxTokens: 8,
+  promptTokens: 2,
+});
+
+function createTable() {
+  const ops: EngineOp[] = [];
+  const answers: Message[] = [];
+  const clock = new ManualClock();
+  const table = createStageTable({
+    clock,
+    incarnation: 1,
+    maxActive: 4,
+    revision: () => 1,
+    admitting: () => true,
+    loaded: () => [{
+      model: 'm', version: 'v', lo: 4, hi: 8, layers: 12,
+    }],
+    run: (op) => ops.push(op),
+    forward: () => {},
+    count: () => {},
+  });
+  const reply = (message: Message) => answers.push(message);
+  const step = (attempt: number, pos: number) => table.step({
+    t: 'step', req: 'r', attempt, pos, hidden: ['a'],
+  });
+  return {
+    clock, table, ops, answers, reply, step,
+  };
+}
+
+test('a step of a fenced attempt', () => {
+  const {
+    table, ops, reply, step,
+  } = createTable();
+  table.offer(offer(0), reply);
+  step(0, 0);
+  table.adopt({
+    t: 'adopt', req: 'r', attempt: 0, to: 1, next: hop,
+  }, reply);
+  step(0, 1);
+  expect(ops.length).toBe(1);
+  step(1, 1);
+  expect(ops.length).toBe(2);
+});
+
+test('an offer after its cancel', () => {
+  const {
+    table, answers, reply,
+  } = createTable();
+  table.cancel('r', 0, reply);
+  table.offer(offer(0), reply);
+  expect(answers).toMatchObject([{ t: 'cancelled', ran: false }, { t: 'refuse', code: 'fenced' }]);
+  expect(table.active).toBe(0);
+});
+
+test('the time left of an offer', () => {
+  const {
+    clock, table, ops, reply, step,
+  } = createTable();
+  table.offer(offer(0), reply);
+  clock.advance(1001);
+  step(0, 0);
+  expect(table.active).toBe(0);
+  expect(ops).toEqual([]);
+});
