--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -54,6 +54,7 @@
   const platform = createPlatformClient(cfg.platformUrl);
   const requestTimeoutMs = cfg.requestTimeoutMs ?? 60_000;
   let stopping = false;
+  let closed = false;
   let sequence = 0;
   let cancelVmPoll = () => {};
   let spread: ConfigSpread | undefined;
@@ -111,7 +112,7 @@
     } catch {
       // The last list stays in use; agents speak for themselves.
     }
-    cancelVmPoll = clock.after(cfg.vmPollMs ?? 1000, pollVms);
+    if (!closed) cancelVmPoll = clock.after(cfg.vmPollMs ?? 1000, pollVms);
   }
 
   function linkMs(zone: string, region: string, to: { zone: string; region: string }) {
@@ -231,6 +232,7 @@
         idle: () => registry.size === 0 && http.active === 0,
       });
       if (!whole) interrupt();
+      closed = true;
       cancelVmPoll();
       spread?.close();
       peers.close();
