--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -9,6 +9,7 @@
 } from '@verbenashunt/schema';
 import {
   createHeartbeats, createPeerMetrics, createPlatformClient, drain, listenForPeers, protocolVersion,
+  resolvePeerTls,
 } from '@verbenashunt/wire';
 import { createCallTable } from './calls/call-table.js';
 import { serveAgentHttp } from './http/server.js';
@@ -56,8 +57,9 @@
   let loaded: LoadedModel[] = [];
   let accelerator: TargetState['accelerator'];
   let serving = cfg.targetKind === 'service';
-  let stopping = false;
+  let leaving = false;
   const peerMetrics = createPeerMetrics(metrics.registry);
+  const tls = resolvePeerTls(cfg);
   const heartbeats = createHeartbeats({ clock, onStall: peerMetrics.stalled });
 
   const config = createConfigHolder((view) => {
@@ -67,7 +69,7 @@
   });
 
   const leveller = createLeveller(config);
-  const draining = () => stopping || Boolean(config.view?.operations.drains.has(cfg.target));
+  const draining = () => leaving || Boolean(config.view?.operations.drains.has(cfg.target));
 
   const common = {
     incarnation,
@@ -76,10 +78,11 @@
     admitting: () => serving && !draining() && config.revision > 0,
   };
   const service = createServiceTarget(cfg.targetUrl);
-  const calls = createCallTable({ ...common, service });
+  const calls = createCallTable({ ...common, clock, service });
   /* eslint-disable @typescript-eslint/no-use-before-define -- table and target know each other */
   const stages = createStageTable({
     ...common,
+    clock,
     loaded: () => loaded,
     run: (op) => engine?.run(op),
     forward: (hop, message) => links.send(hop, message),
@@ -146,6 +149,14 @@
     ? createEngineTarget(cfg.targetUrl, clock, engineHandlers)
     : undefined;
 
+  /** The platform's list says that this VM is leaving; it holds until the process ends. */
+  function leave() {
+    if (leaving) return;
+    leaving = true;
+    log.info('leaving by the platform list');
+    tellEntries();
+  }
+
   const requests = engine ? stages : calls;
   /** What each message does; those that an agent does not take are dropped. */
   const handlers: { [T in Message['t']]?: (message: Extract<Message, { t: T }>, reply: Reply) => void } = {
@@ -153,12 +164,18 @@
     start: stages.start,
     step: stages.step,
     feed: stages.feed,
+    adopt: stages.adopt,
+    replay: stages.replay,
+    resume: stages.resume,
     call: calls.call,
     cancel: ({ req, attempt }, reply) => requests.cancel(req, attempt, reply),
     status: ({ req, attempt }, reply) => requests.status(req, attempt, reply),
     ping: ({ n }, reply) => reply({
       t: 'pong', n, revision: config.revision, load: requests.load(),
     }),
+    leave: (message) => {
+      if (message.incarnation === incarnation) leave();
+    },
   };
 
   function receive(message: Message, reply: Reply) {
@@ -172,6 +189,7 @@
     random,
     hello,
     heartbeats,
+    tls,
     count: peerMetrics.link,
     onMessage: (message) => receive(message, () => {}),
     onLost: stages.hopLost,
@@ -185,7 +203,7 @@
       peerMetrics.closed(err);
       entries.closed(connection, err);
     },
-  }, { clock, heartbeats });
+  }, { clock, heartbeats, tls });
   const http = await serveAgentHttp(cfg.host ?? '127.0.0.1', cfg.httpPort, {
     ready: () => serving && !draining(),
     metrics() {
@@ -200,7 +218,7 @@
     httpPort: http.port,
     events,
     async stop(hurry) {
-      stopping = true;
+      leaving = true;
       tellEntries();
       log.info('draining');
       await events.emit('draining');
--- /dev/null
+++ b/packages/core/src/admission/index.ts
@@ -0,0 +1,6 @@
+/** Admission of requests: fair order, deadlines, refusals. */
+export * from './fair-queue.js';
+export * from './service-rate.js';
+export * from './admission.js';
+export * from './classes.js';
+export * from './grant.js';
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -2,11 +2,12 @@
 import Emittery from 'emittery';
 import type { Logger } from 'pino';
 import {
-  chooseChain, createConfigHolder, createLeveller, SystemClock, type Clock,
+  chooseChain, chooseStage, createConfigHolder, createLeveller, SystemClock, type Clock,
 } from '@verbenashunt/core';
 import type { EntrySettings, Hello, Message } from '@verbenashunt/schema';
 import {
-  createHeartbeats, createPeerMetrics, createPlatformClient, drain, protocolVersion,
+  createDialer, createHeartbeats, createPeerMetrics, createPlatformClient, drain, protocolVersion,
+  resolvePeerTls,
 } from '@verbenashunt/wire';
 import { createConfigSpread, type ConfigSpread } from './config/spread.js';
 import { createConfigStore } from './config/store.js';
@@ -17,10 +18,16 @@
 import { closeHttp, serveEntryHttp } from './http/server.js';
 import { createEntryMetrics } from './metrics.js';
 import { createAgentPeers, type AgentPeer } from './peers/agents.js';
+import { createCallRecords } from './requests/call-records.js';
+import { createFences } from './requests/fences.js';
 import { createGeneration } from './requests/generation.js';
 import { createRequestRegistry, type RequestRun } from './requests/registry.js';
+import { createEntryRetries } from './requests/retries.js';
 import { createServiceCall } from './requests/service-call.js';
+import { createUsage } from './usage/usage.js';
 
+/** Longest wait at a stop for the usage records to be stored. */
+const usageFlushMs = 5000;
 const sameZoneLinkMs = 0.1;
 const otherZoneLinkMs = 0.25;
 const otherRegionLinkMs = 25;
@@ -52,6 +59,9 @@
   const events = new Emittery<EntryEvents>();
   const metrics = createEntryMetrics();
   const platform = createPlatformClient(cfg.platformUrl);
+  const records = createCallRecords(platform);
+  const retries = createEntryRetries(clock);
+  const fences = createFences(clock);
   const requestTimeoutMs = cfg.requestTimeoutMs ?? 60_000;
   let stopping = false;
   let closed = false;
@@ -81,6 +91,9 @@
     revision: config.revision,
   });
 
+  const usage = createUsage({
+    clock, node: cfg.node, incarnation, platform, registry: metrics.registry,
+  });
   const registry = createRequestRegistry(metrics.protocolErrors);
 
   function receive(node: string, message: Message) {
@@ -96,11 +109,15 @@
     random,
     hello,
     heartbeats,
+    dial: (options) => createDialer({ ...options, tls: resolvePeerTls(cfg) }),
     count: peerMetrics.link,
     onMessage: receive,
     onOpen: ({ peer, send }) => leveller.heard(peer.revision, send),
     onLost: registry.lost,
-    onResumed: registry.resumed,
+    onResumed(node) {
+      registry.resumed(node);
+      fences.resumed(node, peers.get(node)?.send);
+    },
   });
 
   async function pollVms() {
@@ -132,15 +149,23 @@
   }
 
   const shared = {
-    clock, entry: cfg.node, revision: () => config.revision, agent: peers.get,
+    clock,
+    random,
+    retries,
+    fence(node: string, req: string, attempt: number) {
+      fences.send(node, { t: 'cancel', req, attempt }, peers.get(node)?.send);
+    },
+    entry: cfg.node,
+    revision: () => config.revision,
+    agent: peers.get,
   };
 
   function pickTarget(
     targets: readonly string[],
     avoid: ReadonlySet<string>,
   ): AgentPeer | undefined {
-    const able = peers.list().filter(({ node, state }) => targets.includes(state.target)
-      && state.serving && !state.draining && !avoid.has(node));
+    const able = peers.able()
+      .filter(({ node, state }) => targets.includes(state.target) && !avoid.has(node));
     const pick = () => able[Math.floor(random() * able.length)];
     const [a, b] = [pick(), pick()];
     return a && b && b.own < a.own ? b : a;
@@ -161,18 +186,28 @@
       sequence += 1;
       return `${cfg.node}-${incarnation.toString(36)}-${sequence}`;
     },
-    generate: (spec, sink) => register(spec.req, (closed) => createGeneration(spec, sink, {
-      ...shared,
-      closed,
-      choose: ({ model, version, layers }, avoid) => chooseChain({
-        layers,
-        candidates: peers.candidates(model, version).filter(({ node }) => !avoid.has(node)),
-        linkMs: (from, to) => linkMs(from?.zone ?? cfg.zone, from?.region ?? cfg.region, to),
-      }),
-    })),
-    call: (spec, targets, sink) => register(spec.req, (closed) => createServiceCall(spec, sink, {
-      ...shared, closed, choose: (avoid) => pickTarget(targets, avoid),
-    })),
+    generate: (spec, caller) => usage.generation(spec, caller, (sink) => (
+      register(spec.req, (closed) => createGeneration(spec, sink, {
+        ...shared,
+        closed,
+        choose: ({ model, version, layers }, avoid) => chooseChain({
+          layers,
+          candidates: peers.candidates(model, version).filter(({ node }) => !avoid.has(node)),
+          linkMs: (from, to) => linkMs(from?.zone ?? cfg.zone, from?.region ?? cfg.region, to),
+        }),
+        replace: ({ model, version }, range, avoid) => chooseStage(
+          peers.candidates(model, version).filter(({ node }) => !avoid.has(node)),
+          range,
+        ),
+      })))),
+    call: (spec, targets, caller) => usage.call(spec, caller, (sink) => (
+      register(spec.req, (closed) => createServiceCall(spec, sink, {
+        ...shared,
+        closed,
+        records,
+        follow: (other) => registry.follow(other, spec.req),
+        choose: (avoid) => pickTarget(targets, avoid),
+      })))),
   });
 
   const operators = createOperatorHandlers({
@@ -237,7 +272,8 @@
       spread?.close();
       peers.close();
       heartbeats.close();
-      await Promise.all([closeHttp(http, clock, whole), platform.close()]);
+      await Promise.all([closeHttp(http, clock, whole), usage.close(usageFlushMs)]);
+      await platform.close();
       log.info({ whole }, 'stopped');
       return whole;
     },
--- a/packages/stand-ins/src/demo/whole-path.ts
+++ b/packages/stand-ins/src/demo/whole-path.ts
@@ -26,6 +26,8 @@
   fleet: string;
   agentFlags?: string[];
   entryFlags?: string[];
+  /** Changes what the platform's list says of an agent's VM, for a relay in front of it. */
+  listed?: (vm: Vm) => Promise<Vm>;
 }
 
 interface EntryState {
@@ -100,9 +102,10 @@
       '--target-kind', kind, '--target-url', String(target.ready), ...spec.agentFlags ?? [],
     ]));
     const { peerPort } = agent.ready as { peerPort: number };
-    return {
+    const vm: Vm = {
       id: `agent-${name}`, role: 'agent', zone: zones[i % zones.length]!, region, host: '127.0.0.1', port: peerPort, state: 'live',
     };
+    return spec.listed ? spec.listed(vm) : vm;
   }
   const vms = await Promise.all([...engines, ...services].map(startTarget));
   await send('PUT', `${platform}/vms`, { vms });
--- a/test/config/spread.test.ts
+++ b/test/config/spread.test.ts
@@ -1,17 +1,15 @@
 /** Accepted configuration reaches every process and never reverts: separate processes. */
 import { fileURLToPath } from 'node:url';
-import { request } from 'undici';
 import { afterEach, expect, test } from 'vitest';
 import { createConfigHolder, SystemClock } from '@verbenashunt/core';
 import { createConfigStore } from '@verbenashunt/entry';
 import { createPlatformClient } from '@verbenashunt/wire';
 import {
-  startDaemon, startWholePath, waitFor, type WholePath,
+  startDaemon, startWholePath, waitFor, type WholePath, type WholePathSpec,
 } from '@verbenashunt/stand-ins';
-import type { VmList } from '@verbenashunt/schema';
 import { drainCommand, undrainCommand } from '../support/config.js';
-import { revisionAt, sendCommand, stateOf } from '../support/operators.js';
-import { createTestLink } from '../support/proxy.js';
+import { revisionAt, sendCommand } from '../support/operators.js';
+import { createRelay, type Relay } from '../support/relay.js';
 
 const declarations = fileURLToPath(new URL('../fixtures/config', import.meta.url));
 /** No process reads the head of the table again within a test. */
@@ -19,7 +17,7 @@
 
 let path: WholePath;
 
-const start = async (entryFlags: string[] = []) => {
+const start = async (entryFlags: string[] = [], listed?: WholePathSpec['listed']) => {
   path = await startWholePath({
     model: 'none',
     layers: 1,
@@ -29,6 +27,7 @@
     entries: 3,
     declarations,
     entryFlags,
+    ...(listed ? { listed } : {}),
   });
   return path;
 };
@@ -92,23 +91,21 @@
 });
 
 test('a VM is cut and healed', async () => {
-  const { entries } = await start(neverPoll);
-  const { peerPort } = path.daemons.get('agent-app-2')!.ready as { peerPort: number };
-  const link = await createTestLink(peerPort);
-  const { vms } = await (await request(`${path.platform}/vms`)).body.json() as VmList;
-  const listed = vms.map((vm) => (vm.port === peerPort ? { ...vm, port: link.port } : vm));
-  await request(`${path.platform}/vms`, { method: 'PUT', body: JSON.stringify({ vms: listed }) });
-  await waitFor('the agent to be reached over the link', async () => (
-    await Promise.all(entries.map(stateOf)))
-    .every((seen) => seen?.agents.some(({ port }) => port === link.port)));
-  link.cut();
+  let relay: Relay | undefined;
+  const { entries } = await start(neverPoll, async (vm) => {
+    if (vm.id !== 'agent-app-2') return vm;
+    relay = await createRelay(vm.port);
+    return { ...vm, port: relay.port };
+  });
+  relay!.swallow({ later: true });
+  relay!.cut();
   const { outcome } = await sendCommand(entries[0]!, drainCommand('c-1', 1, 'app-2'));
   expect(outcome).toMatchObject({ outcome: 'accepted' });
   await reach(2, daemonNames().filter((name) => name !== 'agent-app-2'));
   expect(await revisionAt(httpOf('agent-app-2'))).toBe(1);
-  link.heal();
+  relay!.heal();
   await reach(2, ['agent-app-2']);
-  link.close();
+  await relay!.close();
 });
 
 test('an entry that starts in an outage serves once a peer told it the head', async () => {
