--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -64,7 +64,7 @@
   const fences = createFences(clock);
   const requestTimeoutMs = cfg.requestTimeoutMs ?? 60_000;
   let stopping = false;
-  let closed = false;
+  let pollsVms = true;
   let sequence = 0;
   let cancelVmPoll = () => {};
   let spread: ConfigSpread | undefined;
@@ -129,7 +129,7 @@
     } catch {
       // The last list stays in use; agents speak for themselves.
     }
-    if (!closed) cancelVmPoll = clock.after(cfg.vmPollMs ?? 1000, pollVms);
+    if (pollsVms) cancelVmPoll = clock.after(cfg.vmPollMs ?? 1000, pollVms);
   }
 
   function linkMs(zone: string, region: string, to: { zone: string; region: string }) {
@@ -267,7 +267,7 @@
         idle: () => registry.size === 0 && http.active === 0,
       });
       if (!whole) interrupt();
-      closed = true;
+      pollsVms = false;
       cancelVmPoll();
       spread?.close();
       peers.close();
