--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -15,6 +15,7 @@
 import { serveAgentHttp } from './http/server.js';
 import { takeIncarnation } from './incarnation.js';
 import { createAgentMetrics } from './metrics.js';
+import { createOrders } from './orders/orders.js';
 import { createEntryPeers } from './peers/entries.js';
 import { createLinks } from './peers/links.js';
 import { createStageTable } from './stages/stage-table.js';
@@ -131,6 +132,10 @@
     if (changed) tellEntries();
   }
 
+  const orders = cfg.targetKind === 'engine' ? createOrders({
+    cfg, clock, platform, incarnation, registry: metrics.registry, view: () => config.view,
+  }) : undefined;
+
   const engineHandlers: EngineHandlers = {
     onOutput: stages.output,
     onUp(status) {
@@ -138,7 +143,10 @@
       setLoaded(status);
       tellEntries();
     },
-    onStatus: setLoaded,
+    onStatus(status) {
+      setLoaded(status);
+      orders?.step();
+    },
     onDown() {
       setServing(false);
       stages.engineLost();
@@ -232,7 +240,9 @@
       listener.close();
       links.close();
       heartbeats.close();
-      await Promise.all([engine?.close(), service.close(), platform.close(), http.close()]);
+      await Promise.all([
+        orders?.close(), engine?.close(), service.close(), platform.close(), http.close(),
+      ]);
       log.info({ whole }, 'stopped');
       return whole;
     },
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -3,3 +3,6 @@
 export * from './stages/stage-table.js';
 export * from './calls/call-table.js';
 export * from './peers/entries.js';
+export * from './orders/engine-orders.js';
+export * from './orders/lease.js';
+export * from './orders/reconciler.js';
--- a/packages/cli/src/commands/remote.ts
+++ b/packages/cli/src/commands/remote.ts
@@ -1,7 +1,9 @@
 /** What the operators' commands share: the connection to an entry, exit codes, printing. */
 import { randomUUID } from 'node:crypto';
 import { Command, Option } from 'clipanion';
-import { applyChanges, BaseError, type Items } from '@verbenashunt/core';
+import {
+  applyChanges, BaseError, SettingsError, type Items,
+} from '@verbenashunt/core';
 import {
   validators, type Change, type Command as OperatorCommand, type Outcome,
 } from '@verbenashunt/schema';
@@ -22,7 +24,7 @@
   tampered: 5,
 } as const;
 
-const usageErrors = new Set(['bad_declaration', 'bad_plan', 'bad_query']);
+const usageErrors = new Set(['bad_declaration', 'bad_plan', 'bad_query', 'bad_settings']);
 
 export const PlanError = BaseError.subclass('PlanError', { props: { code: 'bad_plan' } });
 
@@ -52,9 +54,9 @@
 }
 
 export abstract class RemoteCommand extends Command {
-  entry = Option.String('--entry', { env: 'VERBENASHUNT_ENTRY', required: true, description: 'Address of an entry, as http://host:port.' });
+  entry = Option.String('--entry', { env: 'VERBENASHUNT_ENTRY', description: 'Address of an entry, as http://host:port.' });
 
-  key = Option.String('--key', { env: 'VERBENASHUNT_KEY', required: true, description: 'Operator key.' });
+  key = Option.String('--key', { env: 'VERBENASHUNT_KEY', description: 'Operator key.' });
 
   json = Option.Boolean('--json', false, { description: 'Print JSON.' });
 
@@ -64,13 +66,20 @@
     return guard(this.context.stderr, () => this.run());
   }
 
+  /** The client of the entry given by flag or variable; SettingsError when one is missing. */
+  #client() {
+    if (!this.entry) throw new SettingsError('--entry (VERBENASHUNT_ENTRY) is missing. Address of an entry, as http://host:port.');
+    if (!this.key) throw new SettingsError('--key (VERBENASHUNT_KEY) is missing. Operator key.');
+    return createOperatorClient(this.entry, this.key);
+  }
+
   protected write(line: string) {
     this.context.stdout.write(`${line}\n`);
   }
 
   /** Reads a path of the operators' API; OperatorApiError when it is refused. */
   protected async read(path: string): Promise<Record<string, unknown>> {
-    const { status, body } = await createOperatorClient(this.entry, this.key).get(`/operator/v1/${path}`);
+    const { status, body } = await this.#client().get(`/operator/v1/${path}`);
     if (status === 200) return body;
     const { code, message } = (body.error ?? {}) as { code?: string; message?: string };
     throw new OperatorApiError(`${code ?? status}: ${message ?? 'the entry refused'}`);
@@ -86,8 +95,7 @@
 
   /** Sends a command and prints its outcome. */
   protected async send(command: OperatorCommand): Promise<number> {
-    const client = createOperatorClient(this.entry, this.key);
-    const { body } = await client.post('/operator/v1/commands', command);
+    const { body } = await this.#client().post('/operator/v1/commands', command);
     const { commandId, ...outcome } = body;
     if (!validators.outcome(outcome)) {
       const { code, message } = (body.error ?? {}) as { code?: string; message?: string };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -23,3 +23,4 @@
 export * from './membership/subset.js';
 export * from './membership/directory.js';
 export * from './retry/repair.js';
+export * from './orders/decide.js';
