--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -64,6 +64,7 @@
   const requestTimeoutMs = cfg.requestTimeoutMs ?? 60_000;
   let stopping = false;
   let otherEntries: string[] = [];
+  let pollsVms = true;
   let sequence = 0;
   let cancelVmPoll = () => {};
   let spread: ConfigSpread | undefined;
@@ -131,6 +132,7 @@
     } catch {
       // The last list stays in use; agents speak for themselves.
     }
+    if (!pollsVms) return;
     const periodMs = listPollMs(cfg.vmPollMs ?? 1000, peers.sizes.listed);
     cancelVmPoll = clock.after(periodMs * (0.75 + random() / 2), pollVms);
   }
@@ -259,6 +261,7 @@
         idle: () => registry.size === 0 && http.active === 0,
       });
       if (!whole) interrupt();
+      pollsVms = false;
       cancelVmPoll();
       spread?.close();
       admission.close();
