--- a/bench/load.ts
+++ b/bench/load.ts
@@ -5,6 +5,7 @@
  */
 import { execFile } from 'node:child_process';
 import { mkdirSync, writeFileSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
 import { promisify } from 'node:util';
 import {
   armorFleet, falaisesFleet, mixedFleet, runModel, type ModelFault, type ModelRunSpec,
@@ -214,7 +215,7 @@
     const name = waiting.shift();
     if (!name) return;
     const { stdout } = await promisify(execFile)(process.execPath, [
-      ...process.execArgv, import.meta.filename, name,
+      ...process.execArgv, fileURLToPath(import.meta.url), name,
     ]);
     print(stdout.trimEnd());
     await lane();
