--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -2,7 +2,7 @@
 import Emittery from 'emittery';
 import type { Logger } from 'pino';
 import {
-  createConfigHolder, createLeveller, SystemClock, type Clock,
+  createConfigHolder, createLeveller, listPollMs, SystemClock, type Clock,
 } from '@verbenashunt/core';
 import type { EntrySettings, Hello, Message } from '@verbenashunt/schema';
 import {
@@ -109,6 +109,7 @@
     hello,
     heartbeats,
     dial: (options) => createDialer({ ...options, tls: resolvePeerTls(cfg) }),
+    drained: (target) => config.view?.operations.drains.has(target) ?? false,
     count: peerMetrics.link,
     onMessage: receive,
     onOpen: ({ peer, send }) => leveller.heard(peer.revision, send),
@@ -130,7 +131,8 @@
     } catch {
       // The last list stays in use; agents speak for themselves.
     }
-    cancelVmPoll = clock.after(cfg.vmPollMs ?? 1000, pollVms);
+    const periodMs = listPollMs(cfg.vmPollMs ?? 1000, peers.sizes.listed);
+    cancelVmPoll = clock.after(periodMs * (0.75 + random() / 2), pollVms);
   }
 
   /** Creates a run and keeps it registered until it closes. */
--- a/test/frame/engine-stream.test.ts
+++ b/test/frame/engine-stream.test.ts
@@ -1,4 +1,5 @@
 /** An agent resumes the stream to its engine; no layer runs a position twice. */
+import { connect } from 'node:net';
 import { request } from 'undici';
 import { expect, test } from 'vitest';
 import { ByteTokenizer } from '@verbenashunt/core';
@@ -46,3 +47,22 @@
   await path.stop();
   await relay!.close();
 });
+
+test('an engine frees the sequences of a caller that died', async () => {
+  const path = await startInProcess({});
+  const { port, hostname } = new URL(path.engine);
+  const held = async () => {
+    const res = await request(`${path.engine}/runs`);
+    return (await res.body.json() as { sequences: number }).sequences;
+  };
+  const socket = connect(Number(port), hostname);
+  const op = `${JSON.stringify({
+    op: 'run', seq: 'left', model: 'm', lo: 0, hi: layers, pos: 0, tokens: [1],
+  })}\n`;
+  const chunk = `${op.length.toString(16)}\r\n${op}\r\n`;
+  socket.write(`POST /stream?session=a&after=0 HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n${chunk}`);
+  await waitFor('the sequence to be held', async () => await held() === 1);
+  socket.resetAndDestroy();
+  await waitFor('the sequence to be freed', async () => await held() === 0);
+  await path.stop();
+});
