--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -160,7 +160,9 @@
     agent: peers.get,
   };
 
-  const routing = createRouting({ place: cfg, peers, random });
+  const routing = createRouting({
+    clock, place: cfg, peers, random,
+  });
   const admission = createEntryAdmission({
     clock,
     config,
