--- a/packages/stand-ins/src/load/model/run.ts
+++ b/packages/stand-ins/src/load/model/run.ts
@@ -6,6 +6,12 @@
 import { createRecorder, type RunResult } from './results.js';
 import type { ModelRunSpec, ModelWorld, RequestStream } from './spec.js';
 
+/** Arrivals during the ramp as a multiple of those after it. */
+const rampFactor = 8;
+
+/** Requests of the ramp stand for those under way: their prompts have run already. */
+const underWay = (stream: RequestStream): RequestStream => ({ ...stream, promptTokens: 1 });
+
 export function runModel(spec: ModelRunSpec): RunResult {
   const loop = createEventLoop();
   const random = createRandom(spec.seed);
@@ -42,12 +48,14 @@
 
   let nextId = 0;
   function arrivals(stream: RequestStream) {
-    loop.after(exponential(random, 1000 / stream.requestsPerSecond), () => {
+    const ramping = loop.now() < spec.rampMs;
+    const perSecond = stream.requestsPerSecond * (ramping ? rampFactor : 1);
+    loop.after(exponential(random, 1000 / perSecond), () => {
       nextId += 1;
       const entry = entries[Math.floor(random() * entries.length)]!;
-      const spreadOfLength = 0.5 + random();
+      const spreadOfLength = (0.5 + random()) * (ramping ? random() : 1);
       const answerTokens = Math.max(2, Math.round(stream.answerTokens * spreadOfLength));
-      entry.arrive(`r${nextId}`, stream, answerTokens);
+      entry.arrive(`r${nextId}`, ramping ? underWay(stream) : stream, answerTokens);
       arrivals(stream);
     });
   }
--- a/packages/stand-ins/src/load/model/spec.ts
+++ b/packages/stand-ins/src/load/model/spec.ts
@@ -43,8 +43,12 @@
   streams: readonly RequestStream[];
   /** Concurrent requests that a target's agent admits. */
   limitOf(target: FleetTarget): number;
+  /** Full batches that may be at a target at once. */
+  depth?: number;
   /** Time between load reports, which is also how stale they get, in milliseconds. */
   reportMs: number;
+  /** Time at the start in which the fleet is filled, in milliseconds. */
+  rampMs: number;
   warmUpMs: number;
   durationMs: number;
   /** Longest wait that admission promises, in milliseconds. */
