Count requests whose caller went away, each request with one outcome

Cause: a request that its caller closed, or that was cut off unread, left no outcome in the metrics, so outcomes did not add up to requests. Change: one meter per request for chats and services. Seen: the test of the unread stream waits for outcome caller_gone and passes; test/frame and test/golden pass (50 tests).

--- a/packages/entry/src/http/callers.ts
+++ b/packages/entry/src/http/callers.ts
@@ -4,7 +4,7 @@
   createRefusal, isRepeatable, sha256, type Clock, type ConfigHolder, type ConfigView, type Refusal,
 } from '@verbenashunt/core';
 import type { OrganisationDecl } from '@verbenashunt/schema';
-import type { EntryMetrics, RequestLabels } from '../metrics.js';
+import type { EntryMetrics } from '../metrics.js';
 import type { GenerationSink, GenerationSpec } from '../requests/generation.js';
 import type { RequestRun } from '../requests/registry.js';
 import type { ServiceCallSink, ServiceCallSpec } from '../requests/service-call.js';
@@ -14,6 +14,7 @@
   bearerOf, createChatSink, parseChat, promptOf,
 } from './chat.js';
 import { headersOf, methodOf, targetOf } from './forward.js';
+import { createRequestMeter, measured, type RequestMeter } from './measure.js';
 
 const defaultMaxTokens = 256;
 const chatPriority = 5;
@@ -69,31 +70,8 @@
     if (org.fleets && !org.fleets.includes(fleet)) throw createRefusal('forbidden');
   }
 
-  /** Measures a generation on its way to the caller. */
-  function measured(sink: GenerationSink, labels: RequestLabels): GenerationSink {
-    const startedAt = clock.now();
-    let lastAt: number | undefined;
-    const seconds = (since: number) => (clock.now() - since) / millisecondsPerSecond;
-    return {
-      token(token) {
-        if (lastAt === undefined) metrics.firstToken(labels, seconds(startedAt));
-        else metrics.betweenTokens(labels, seconds(lastAt));
-        lastAt = clock.now();
-        sink.token(token);
-      },
-      end(reason) {
-        metrics.outcome(labels, 'completed', seconds(startedAt));
-        sink.end(reason);
-      },
-      refuse(refusal) {
-        metrics.outcome(labels, refusal.code, seconds(startedAt));
-        sink.refuse(refusal);
-      },
-    };
-  }
-
   /** Ends the run with its connection, and keeps the way to refuse it at a hurried stop. */
-  function own(res: ServerResponse, run: RequestRun, refuse: () => void) {
+  function own(res: ServerResponse, run: RequestRun, meter: RequestMeter, refuse: () => void) {
     const abort = () => {
       if (res.writableEnded) return;
       run.cancel();
@@ -102,6 +80,7 @@
     open.add(abort);
     res.once('close', () => {
       open.delete(abort);
+      meter.gone();
       run.cancel();
     });
   }
@@ -126,7 +105,8 @@
         id, model: chat.model, createdSeconds, promptTokens: prompt.length,
       }, chat.stream ?? false, streamBounds);
       const labels = { org: admitted.org.name, cls: 'chat' };
-      const caller = measured(sink, labels);
+      const meter = createRequestMeter(metrics, clock, labels);
+      const caller = measured(sink, meter);
       const run = deps.generate({
         req: id,
         ...labels,
@@ -138,7 +118,7 @@
         priority: chatPriority,
         deadline: clock.now() + deps.requestTimeoutMs,
       }, caller);
-      own(res, run, () => caller.refuse(createRefusal('interrupted')));
+      own(res, run, meter, () => caller.refuse(createRefusal('interrupted')));
     },
 
     async models(req: IncomingMessage, res: ServerResponse) {
@@ -163,10 +143,9 @@
       const id = deps.nextId();
       const startedAt = clock.now();
       const labels = { org: admitted.org.name, cls: match.route.cls ?? 'service' };
-      const finish = (outcome: string) => metrics
-        .outcome(labels, outcome, (clock.now() - startedAt) / millisecondsPerSecond);
+      const meter = createRequestMeter(metrics, clock, labels);
       const refuse = (refusal: Refusal) => {
-        finish(refusal.code);
+        meter.finish(refusal.code);
         sendRefusal(res, refusal, id);
       };
       const run = deps.call({
@@ -181,13 +160,13 @@
         deadline: startedAt + (match.route.timeoutMs ?? deps.requestTimeoutMs),
       }, match.route.targets, {
         result(result) {
-          finish('completed');
+          meter.finish('completed');
           res.writeHead(result.status, result.headers);
           res.end(Buffer.from(result.body, 'base64'));
         },
         refuse,
       });
-      own(res, run, () => refuse(createRefusal('outcome_unknown')));
+      own(res, run, meter, () => refuse(createRefusal('outcome_unknown')));
     },
   };
 }
--- /dev/null
+++ b/packages/entry/src/http/measure.ts
@@ -0,0 +1,58 @@
+/** Measures one request on its way: first token, gaps between tokens, and its one outcome. */
+import type { Clock } from '@verbenashunt/core';
+import type { EntryMetrics, RequestLabels } from '../metrics.js';
+import type { GenerationSink } from '../requests/generation.js';
+
+const millisecondsPerSecond = 1000;
+
+export interface RequestMeter {
+  token(): void;
+  /** Counts the outcome; later ones of the same request are ignored. */
+  finish(outcome: string): void;
+  /** The caller closed its connection before the answer was whole. */
+  gone(): void;
+}
+
+export function createRequestMeter(
+  metrics: EntryMetrics,
+  clock: Clock,
+  labels: RequestLabels,
+): RequestMeter {
+  const startedAt = clock.now();
+  let lastAt: number | undefined;
+  let isOver = false;
+
+  function finish(outcome: string) {
+    if (isOver) return;
+    isOver = true;
+    metrics.outcome(labels, outcome, (clock.now() - startedAt) / millisecondsPerSecond);
+  }
+
+  return {
+    token() {
+      const now = clock.now();
+      const seconds = (now - (lastAt ?? startedAt)) / millisecondsPerSecond;
+      if (lastAt === undefined) metrics.firstToken(labels, seconds);
+      else metrics.betweenTokens(labels, seconds);
+      lastAt = now;
+    },
+    finish,
+    gone: () => finish('caller_gone'),
+  };
+}
+
+/** Passes a generation on to its caller and measures it. */
+export const measured = (sink: GenerationSink, meter: RequestMeter): GenerationSink => ({
+  token(token) {
+    meter.token();
+    sink.token(token);
+  },
+  end(reason) {
+    meter.finish('completed');
+    sink.end(reason);
+  },
+  refuse(refusal) {
+    meter.finish(refusal.code);
+    sink.refuse(refusal);
+  },
+});
--- a/test/frame/http-bounds.test.ts
+++ b/test/frame/http-bounds.test.ts
@@ -139,7 +139,9 @@
   socket.on('error', () => {});
   await waitFor('the answer to be cut off', async () => {
     const res = await request(`${path.url}/metrics`);
-    return /verbenashunt_slow_readers_total 1/.test(await res.body.text());
+    const text = await res.body.text();
+    return /verbenashunt_slow_readers_total 1/.test(text)
+      && /verbenashunt_requests_total\{[^}]*outcome="caller_gone"\} 1/.test(text);
   }, 50_000);
   socket.destroy();
   await waitFor('the engine to be free', async () => {
