Test the platform's client and the link stand-in

Cause found by the test: the link closed both sides as soon as one of them ended, so that bytes under way were lost, and two timers of almost the same time could swap chunks. Change: deliveries of a connection stand in one queue, and the end of a side is one of them.

--- a/packages/stand-ins/src/link/link.ts
+++ b/packages/stand-ins/src/link/link.ts
@@ -31,25 +31,51 @@
   close(): Promise<void>;
 }
 
+/** Deliveries in the order in which they were made due, each no earlier than its time. */
+function createDeliveries() {
+  const waiting: { dueAt: number; deliver: () => void }[] = [];
+  let isArmed = false;
+
+  function arm() {
+    if (isArmed || waiting.length === 0) return;
+    isArmed = true;
+    const waitMs = Math.max(0, Math.ceil(waiting[0]!.dueAt - performance.now()));
+    setTimeout(() => {
+      isArmed = false;
+      waiting.shift()!.deliver();
+      arm();
+    }, waitMs);
+  }
+
+  return (dueAt: number, deliver: () => void) => {
+    waiting.push({ dueAt, deliver });
+    arm();
+  };
+}
+
 /** One direction of the link: chunks leave in order, each after the one before it. */
 function createLane(state: LinkState) {
   let freeAt = 0;
   return (from: Socket, to: Socket) => {
+    const deliverAt = createDeliveries();
     let underWay = 0;
     from.on('data', (chunk: Buffer) => {
       if (state.silent) return;
-      const now = performance.now();
       const sendMs = state.bytesPerSecond > 0
         ? (chunk.length / state.bytesPerSecond) * millisecondsPerSecond
         : 0;
-      freeAt = Math.max(freeAt, now) + sendMs;
+      freeAt = Math.max(freeAt, performance.now()) + sendMs;
       underWay += chunk.length;
       if (underWay > maxUnderWayBytes) from.pause();
-      setTimeout(() => {
+      deliverAt(freeAt + state.delayMs, () => {
         underWay -= chunk.length;
         if (underWay <= maxUnderWayBytes) from.resume();
         if (!to.destroyed) to.write(chunk);
-      }, freeAt - now + state.delayMs);
+      });
+    });
+    // The end of a side follows its last bytes.
+    from.on('end', () => {
+      if (!state.silent) deliverAt(performance.now() + state.delayMs, () => to.end());
     });
   };
 }
@@ -61,17 +87,16 @@
   const down = createLane(state);
   const sockets = new Set<Socket>();
 
-  const server = createServer((near) => {
-    const far = connect(options.targetPort, options.targetHost);
+  const server = createServer({ allowHalfOpen: true }, (near) => {
+    const far = connect({
+      port: options.targetPort, host: options.targetHost, allowHalfOpen: true,
+    });
     [near, far].forEach((socket) => {
       const other = socket === near ? far : near;
       sockets.add(socket);
       socket.setNoDelay(true);
-      socket.on('error', () => {});
-      socket.on('close', () => {
-        sockets.delete(socket);
-        other.destroy();
-      });
+      socket.on('error', () => other.destroy());
+      socket.on('close', () => sockets.delete(socket));
     });
     up(near, far);
     down(far, near);
--- /dev/null
+++ b/test/frame/platform.test.ts
@@ -0,0 +1,113 @@
+/** The platform's client against the faults of its stand-in, and the link stand-in. */
+import { createServer, connect, type AddressInfo } from 'node:net';
+import { createServer as createHttpServer } from 'node:http';
+import { request } from 'undici';
+import {
+  afterAll, beforeAll, expect, test,
+} from 'vitest';
+import { PlatformError, PlatformRateError } from '@verbenashunt/core';
+import { startLink, startPlatform, type StandIn } from '@verbenashunt/stand-ins';
+import { createPlatformClient, type PlatformClient } from '@verbenashunt/wire';
+
+const host = '127.0.0.1';
+
+let platform: StandIn;
+let client: PlatformClient;
+
+beforeAll(async () => {
+  platform = await startPlatform({ host, port: 0, vms: [] });
+  client = createPlatformClient(platform.url);
+});
+
+afterAll(async () => {
+  await client.close();
+  await platform.close();
+});
+
+const setFaults = async (faults: object) => {
+  const res = await request(`${platform.url}/faults`, { method: 'POST', body: JSON.stringify(faults) });
+  await res.body.dump();
+};
+const put = (table: string) => client.transact({
+  conditions: [{ table, key: 'k', version: 0 }], puts: [{ table, key: 'k', value: 'v' }],
+});
+
+test('an outage of one table leaves the others', async () => {
+  await setFaults({ tables: { down: { outage: true } } });
+  await expect(put('down')).rejects.toBeInstanceOf(PlatformError);
+  await put('up');
+  expect(await client.get('up', 'k')).toMatchObject({ value: 'v', version: 1 });
+  await expect(client.get('down', 'k')).rejects.toBeInstanceOf(PlatformError);
+  await setFaults({ tables: {} });
+  expect(await client.get('down', 'k')).toBeUndefined();
+});
+
+test('a write of one table takes effect and its answer is lost', async () => {
+  await setFaults({ tables: { lossy: { loseAnswers: 1 } } });
+  await expect(put('lossy')).rejects.toBeInstanceOf(PlatformError);
+  expect(await client.get('lossy', 'k')).toMatchObject({ value: 'v' });
+});
+
+test('a write over the rate has no effect and says so', async () => {
+  await setFaults({ writesPerSecond: 0 });
+  await expect(put('rated')).rejects.toBeInstanceOf(PlatformRateError);
+  await setFaults({ writesPerSecond: 600 });
+  expect(await client.get('rated', 'k')).toBeUndefined();
+});
+
+test.each([
+  ['text that is no JSON', 200, '<html>'],
+  ['JSON of another shape', 200, '{"rows":1}'],
+  ['an address that is not there', 404, '{}'],
+])('answers that a platform should not give: %s', async (_, status, text) => {
+  const server = createHttpServer((__, res) => {
+    res.writeHead(status);
+    res.end(text);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, host, resolve);
+  });
+  const other = createPlatformClient(`http://${host}:${(server.address() as AddressInfo).port}`);
+  await expect(other.listVms()).rejects.toBeInstanceOf(PlatformError);
+  if (status === 404) {
+    const write = other.transact({ conditions: [], puts: [] });
+    await expect(write).rejects.toBeInstanceOf(PlatformError);
+  }
+  await other.close();
+  server.close();
+});
+
+test('a link delays and limits what passes, in order', async () => {
+  const bytes = 50_000;
+  const echo = createServer((socket) => socket.pipe(socket));
+  await new Promise<void>((resolve) => {
+    echo.listen(0, host, resolve);
+  });
+  const link = await startLink({
+    host,
+    port: 0,
+    targetHost: host,
+    targetPort: (echo.address() as AddressInfo).port,
+    delayMs: 30,
+    bytesPerSecond: 500_000,
+    silent: false,
+  });
+  const sent = Buffer.from(Array.from({ length: bytes }, (_, i) => i % 251));
+  const socket = connect(link.port, host);
+  const chunks: Buffer[] = [];
+  const startedAt = performance.now();
+  socket.end(sent);
+  await new Promise((resolve) => {
+    socket.on('data', (chunk: Buffer) => {
+      chunks.push(chunk);
+      if (Buffer.concat(chunks).length === bytes) resolve(undefined);
+    });
+  });
+  // Timers may fire up to a millisecond early.
+  const leastMs = 2 * 29 + (bytes / 500_000) * 1000;
+  expect(performance.now() - startedAt).toBeGreaterThan(leastMs);
+  expect(Buffer.concat(chunks).equals(sent)).toBe(true);
+  socket.destroy();
+  await link.close();
+  echo.close();
+});
