--- a/packages/entry/src/http/callers.ts
+++ b/packages/entry/src/http/callers.ts
@@ -1,7 +1,8 @@
 /** The callers' API of an entry: chat, models and plain services. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
-  createRefusal, isRepeatable, sha256, type Clock, type ConfigHolder, type ConfigView, type Refusal,
+  classOfChat, createRefusal, isRepeatable, sha256,
+  type Clock, type ConfigHolder, type ConfigView, type Refusal,
 } from '@verbenashunt/core';
 import type { OrganisationDecl } from '@verbenashunt/schema';
 import type { EntryMetrics } from '../metrics.js';
@@ -17,7 +18,6 @@
 import { createRequestMeter, measured, type RequestMeter } from './measure.js';
 
 const defaultMaxTokens = 256;
-const chatPriority = 5;
 const millisecondsPerSecond = 1000;
 
 export interface CallerDeps {
@@ -104,7 +104,9 @@
       const sink = createChatSink(res, {
         id, model: chat.model, createdSeconds, promptTokens: prompt.length,
       }, chat.stream ?? false, streamBounds);
-      const labels = { org: admitted.org.name, cls: 'chat' };
+      const maxTokens = chat.max_tokens ?? defaultMaxTokens;
+      const { name: cls, priority } = classOfChat(maxTokens);
+      const labels = { org: admitted.org.name, cls };
       const meter = createRequestMeter(metrics, clock, labels);
       const caller = measured(sink, meter);
       const run = deps.generate({
@@ -114,8 +116,8 @@
         version: found.model.version,
         layers: found.model.layers,
         prompt,
-        maxTokens: chat.max_tokens ?? defaultMaxTokens,
-        priority: chatPriority,
+        maxTokens,
+        priority,
         deadline: clock.now() + deps.requestTimeoutMs,
       }, caller);
       own(res, run, meter, () => caller.refuse(createRefusal('interrupted')));
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -9,3 +9,4 @@
 export * from './demo/processes.js';
 export * from './demo/whole-path.js';
 export * from './load/model/index.js';
+export * from './load/tool/index.js';
