Offer a replacement anew when the next stage is lost before it was set going

Cause: a replacement that had accepted but was not set going counted as a survivor when another stage was lost. The last stage then kept the position it had been told, and the entry kept the base of the attempt before: the caller's answer lost a token.

Change: such a stage stays a replacement, is fenced in the old attempt and offered anew. Only stages that were offered are released, so that the count of an agent's own requests no longer drifts.

--- a/packages/entry/src/requests/generation.ts
+++ b/packages/entry/src/requests/generation.ts
@@ -58,9 +58,9 @@
     if (peer) Object.assign(peer, { own: Math.max(0, peer.own + change) });
   }
 
-  /** Fences the attempt on some of its stages, which also frees them. */
-  function releaseNodes(nodes: readonly string[], number: number) {
-    nodes.forEach((node) => {
+  /** Fences the attempt on those of its stages that were offered it, which also frees them. */
+  function releaseStages(stages: readonly AttemptStage[], number: number) {
+    stages.filter(({ sent }) => sent.length > 0).forEach(({ node }) => {
       hold(node, -1);
       deps.fence(node, req, number);
     });
@@ -69,7 +69,7 @@
   function release() {
     if (!attempt) return;
     attempt.cancelTimer();
-    releaseNodes(nodesOf(attempt), attempt.number);
+    releaseStages(attempt.stages, attempt.number);
     attempt = undefined;
   }
 
@@ -147,9 +147,12 @@
 
   function replacements(current: Attempt, lost: ReadonlySet<string>): AttemptStage[] | undefined {
     const taken = new Set([...avoid, ...nodesOf(current)]);
-    const stages = current.stages.flatMap(({ node, lo, hi }): AttemptStage[] => {
+    const stages = current.stages.flatMap(({
+      node, lo, hi, replaced,
+    }): AttemptStage[] => {
       const stage = { lo, hi, sent: [] };
-      if (!lost.has(node)) return [{ ...stage, node, replaced: false }];
+      // A replacement that was not set going holds nothing, and what it was told may not hold now.
+      if (!lost.has(node)) return [{ ...stage, node, replaced: replaced && !current.started }];
       const other = deps.replace(spec, { lo, hi }, taken);
       if (other === undefined) return [];
       taken.add(other);
@@ -173,7 +176,8 @@
       return;
     }
     old.cancelTimer();
-    releaseNodes([...lost], old.number);
+    const kept = new Set(stages.flatMap(({ node, replaced }) => (replaced ? [] : [node])));
+    releaseStages(old.stages.filter(({ node }) => !kept.has(node)), old.number);
     deps.recovered?.('repair');
     const current = nextAttempt(stages, old.base);
     stages.forEach((stage, index) => {
--- a/test/requests/recovery.test.ts
+++ b/test/requests/recovery.test.ts
@@ -111,3 +111,24 @@
   expect(world.clock.now()).toBe(200);
   expect(world.finish()).toMatchObject({ outcome: 'interrupted', left: 0 });
 });
+
+test('two stages lost one after the other', () => {
+  fc.assert(fc.property(
+    fc.constantFrom(['0a', '1a'], ['1a', '0a'], ['1a', '2a'], ['2a', '1a'], ['0a', '2a'], ['2a', '0a']),
+    fc.constantFrom(...failures),
+    fc.integer({ min: 0, max: maxTokens - 1 }),
+    fc.integer({ min: 0, max: 400 }),
+    fc.constantFrom(0.25, 25),
+    ([first, second], failure, afterTokens, betweenMs, linkMs) => {
+      const world = createChainWorld({ ...chainDefaults, linkMs });
+      world.advance(() => world.result.answer.length >= afterTokens);
+      world.fail(first, failure);
+      const at = world.clock.now() + betweenMs;
+      world.advance(() => world.clock.now() >= at);
+      world.fail(second, failure);
+      const result = world.finish();
+      expect(result.answer).toEqual(reference);
+      expect(result).toMatchObject({ outcome: 'length', left: 0 });
+    },
+  ), { seed, numRuns: 600 });
+});
