Quarantine requests that crash the targets that run them

Cause: a request that crashes engines was tried up to 8 times, and its caller's next try through another entry began from nothing.

Change: suspects run apart from each other, by the entry's choice and by the agent's refusal; the second crash alone quarantines the fingerprint, recorded in the table and read by every entry; operators list and release. The watch over an answer's progress is a module of its own.

Not proved: the table down, several poison requests, chains of several stages.

--- a/packages/agent/src/stages/stage-table.ts
+++ b/packages/agent/src/stages/stage-table.ts
@@ -66,9 +66,16 @@
 
   const load = (): Load => ({ active: stages.size, queued: 0, limit: deps.maxActive });
 
-  const refusalOf = (offer: Offer) => refuseOffer(offer, {
-    ...deps, active: stages.size, fencedTo: fences.get(offer.req) ?? -1,
-  });
+  const suspects = () => [...stages.values()].filter(({ offer }) => offer.suspect);
+
+  function refusalOf(offer: Offer): string | undefined {
+    const code = refuseOffer(offer, {
+      ...deps, active: stages.size, fencedTo: fences.get(offer.req) ?? -1,
+    });
+    if (code || !offer.suspect) return code;
+    // Two suspects on one target could not be told apart by its next crash.
+    return suspects().some((other) => other.offer.req !== offer.req) ? 'apart' : undefined;
+  }
 
   function drop(stage: Stage) {
     if (stages.get(stage.offer.req) !== stage) return;
@@ -85,10 +92,14 @@
     if (stage && stage.offer.attempt <= attempt) drop(stage);
   }
 
-  function tellFailure(stage: Stage, code: string, node?: string) {
+  function tellFailure(
+    stage: Stage,
+    code: string,
+    details: Pick<Fail, 'node' | 'suspects'> = {},
+  ) {
     const { req, attempt } = stage.offer;
     const message: Fail = {
-      t: 'fail', req, attempt, code, ...(node === undefined ? {} : { node }),
+      t: 'fail', req, attempt, code, ...details,
     };
     stage.reply(message);
     deps.count('failed');
@@ -202,7 +213,9 @@
       const stage = stages.get(req);
       if (stage?.offer.attempt === attempt) {
         Object.assign(stage, {
-          offer: { ...stage.offer, attempt: to, next: adopt.next },
+          offer: {
+            ...stage.offer, attempt: to, next: adopt.next, suspect: adopt.suspect ?? false,
+          },
           held: true,
           early: undefined,
           reply,
@@ -273,14 +286,18 @@
       }
     },
     engineLost() {
-      [...stages.values()].forEach((stage) => fail(stage, 'target_lost'));
+      const details = { suspects: suspects().length };
+      [...stages.values()].forEach((stage) => {
+        tellFailure(stage, 'target_lost', details);
+        fence(stage.offer.req, stage.offer.attempt);
+      });
     },
     hopLost(node) {
       [...stages.values()].filter(({ offer, ended }) => offer.next.node === node && !ended)
         .forEach((stage) => {
           // The stage keeps its KV cache; the entry joins it to another hop or cancels it.
           Object.assign(stage, { held: true });
-          tellFailure(stage, 'hop_lost', node);
+          tellFailure(stage, 'hop_lost', { node });
         });
     },
     entryLost(entry) {
--- a/packages/cli/src/commands/remote.ts
+++ b/packages/cli/src/commands/remote.ts
@@ -7,7 +7,7 @@
 import {
   validators, type Change, type Command as OperatorCommand, type Outcome,
 } from '@verbenashunt/schema';
-import { createOperatorClient, OperatorApiError } from '../client/operator-client.js';
+import { createOperatorClient, OperatorApiError, type OperatorAnswer } from '../client/operator-client.js';
 
 /** Exit codes, as documented in docs/operators/changes.md. */
 export const exitCodes = {
@@ -53,6 +53,13 @@
   return code === 'conflict' ? exitCodes.conflict : exitCodes.failed;
 }
 
+/** The body of an answer; OperatorApiError when it is a refusal. */
+function bodyOf({ status, body }: OperatorAnswer): Record<string, unknown> {
+  if (status === 200) return body;
+  const { code, message } = (body.error ?? {}) as { code?: string; message?: string };
+  throw new OperatorApiError(`${code ?? status}: ${message ?? 'the entry refused'}`);
+}
+
 export abstract class RemoteCommand extends Command {
   entry = Option.String('--entry', { env: 'VERBENASHUNT_ENTRY', description: 'Address of an entry, as http://host:port.' });
 
@@ -79,10 +86,12 @@
 
   /** Reads a path of the operators' API; OperatorApiError when it is refused. */
   protected async read(path: string): Promise<Record<string, unknown>> {
-    const { status, body } = await this.#client().get(`/operator/v1/${path}`);
-    if (status === 200) return body;
-    const { code, message } = (body.error ?? {}) as { code?: string; message?: string };
-    throw new OperatorApiError(`${code ?? status}: ${message ?? 'the entry refused'}`);
+    return bodyOf(await this.#client().get(`/operator/v1/${path}`));
+  }
+
+  /** Posts to a path of the operators' API; OperatorApiError when it is refused. */
+  protected async post(path: string): Promise<Record<string, unknown>> {
+    return bodyOf(await this.#client().post(`/operator/v1/${path}`, {}));
   }
 
   protected async readConfig(): Promise<RemoteConfig> {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -2,7 +2,7 @@
 import Emittery from 'emittery';
 import type { Logger } from 'pino';
 import {
-  createConfigHolder, createLeveller, listPollMs, SystemClock, type Clock,
+  createConfigHolder, createLeveller, createRefusal, listPollMs, SystemClock, type Clock,
 } from '@verbenashunt/core';
 import type { EntrySettings, Hello, Message } from '@verbenashunt/schema';
 import {
@@ -23,6 +23,7 @@
 import { createFences } from './requests/fences.js';
 import { createGeneration } from './requests/generation.js';
 import { createRequestRegistry, type RequestRun } from './requests/registry.js';
+import { createQuarantine } from './requests/quarantine.js';
 import { createEntryRetries } from './requests/retries.js';
 import { createServiceCall } from './requests/service-call.js';
 import { createRouting } from './routing/routing.js';
@@ -163,15 +164,34 @@
   const routing = createRouting({
     clock, place: cfg, peers, random,
   });
+  const quarantine = createQuarantine({
+    clock,
+    random,
+    platform,
+    onQuarantined: (fingerprint) => log.warn({ fingerprint }, 'request quarantined'),
+  });
   const admission = createEntryAdmission({
     clock,
     config,
     routing,
     maxQueue: cfg.maxQueue ?? 1000,
     otherEntries: () => otherEntries,
-    startGeneration: (spec, sink) => register(spec.req, (closed) => createGeneration(spec, sink, {
-      ...shared, closed, choose: routing.chain, replace: routing.stage,
-    })),
+    startGeneration(spec, sink) {
+      quarantine.begin(spec);
+      return register(spec.req, (closed) => createGeneration(spec, sink, {
+        ...shared,
+        choose: quarantine.chain(routing.chain),
+        replace: quarantine.stage(routing.stage),
+        crashed: (_, __, alone) => quarantine.crashed(spec, alone),
+        isSuspect: quarantine.isSuspect,
+        placed: quarantine.placed,
+        isApart: quarantine.isApart(routing.chain),
+        closed() {
+          quarantine.end(spec.req);
+          closed();
+        },
+      }));
+    },
     startCall: (spec, targets, sink) => register(spec.req, (closed) => createServiceCall(
       spec,
       sink,
@@ -200,8 +220,10 @@
       sequence += 1;
       return `${cfg.node}-${incarnation.toString(36)}-${sequence}`;
     },
-    generate: (spec, caller) => usage
-      .generation(spec, caller, (sink) => admission.generate(spec, sink)),
+    generate(spec, caller) {
+      if (quarantine.has(spec)) throw createRefusal('quarantined');
+      return usage.generation(spec, caller, (sink) => admission.generate(spec, sink));
+    },
     call: (spec, targets, caller) => usage
       .call(spec, caller, (sink) => admission.call(spec, targets, sink)),
   });
@@ -210,6 +232,7 @@
     config,
     store,
     readBody,
+    quarantine,
     bootstrapOperatorHash: cfg.bootstrapOperatorHash,
     state: () => ({
       node: cfg.node,
@@ -266,6 +289,7 @@
       pollsVms = false;
       cancelVmPoll();
       spread?.close();
+      quarantine.close();
       admission.close();
       peers.close();
       heartbeats.close();
--- a/packages/entry/src/http/operators.ts
+++ b/packages/entry/src/http/operators.ts
@@ -5,6 +5,7 @@
 } from '@verbenashunt/core';
 import { validators, type Outcome } from '@verbenashunt/schema';
 import type { ConfigStore } from '../config/store.js';
+import type { Quarantine } from '../requests/quarantine.js';
 import { sendJson } from './answers.js';
 import { parseJson, type BodyReader } from './body.js';
 import { bearerOf } from './chat.js';
@@ -13,6 +14,7 @@
   config: ConfigHolder;
   store: ConfigStore;
   readBody: BodyReader;
+  quarantine: Pick<Quarantine, 'list' | 'release'>;
   bootstrapOperatorHash: string | undefined;
   /** What this entry sees now. */
   state(): unknown;
@@ -31,7 +33,7 @@
 }
 
 export function createOperatorHandlers({
-  config, store, readBody, bootstrapOperatorHash, state,
+  config, store, readBody, quarantine, bootstrapOperatorHash, state,
 }: OperatorDeps) {
   function operatorOf(req: IncomingMessage): string {
     const hash = sha256(bearerOf(req));
@@ -69,6 +71,12 @@
     });
   }
 
+  async function release(res: ServerResponse, fingerprint: string, operator: string) {
+    const known = await quarantine.release(fingerprint, operator);
+    if (!known) throw createRefusal('not_found', { detail: `fingerprint ${fingerprint}` });
+    sendJson(res, 200, { fingerprint, state: 'released' });
+  }
+
   /** Reads by path; each takes what follows its name. */
   const reads: Record<string, (res: ServerResponse, rest: string) => unknown> = {
     state: (res) => sendJson(res, 200, state()),
@@ -77,6 +85,7 @@
       items: [...config.items].map(([item, value]) => ({ item, value })),
     }),
     history,
+    quarantine: (res) => sendJson(res, 200, { fingerprints: quarantine.list() }),
     commands: async (res, id) => (id
       ? showCommand(res, id)
       : sendJson(res, 200, { commands: await store.commands() })),
@@ -90,6 +99,7 @@
       const read = reads[name];
       try {
         if (req.method === 'POST' && name === 'commands') await submit(req, res, operator);
+        else if (req.method === 'POST' && name === 'quarantine') await release(res, rest, operator);
         else if (req.method === 'GET' && read) await read(res, rest);
         else throw createRefusal('not_found', { detail: path });
       } catch (err) {
--- a/packages/entry/src/requests/attempt.ts
+++ b/packages/entry/src/requests/attempt.ts
@@ -1,7 +1,9 @@
 /** One attempt of a generation: its chain, what each stage reported and what it was sent. */
-import type { CancelTimer, RepairCommand, StageReport } from '@verbenashunt/core';
 import type {
-  Adopt, Message, Offer,
+  CancelTimer, RepairCommand, RepairQuery, StageReport,
+} from '@verbenashunt/core';
+import type {
+  Adopt, Message, Offer, LayerRange,
 } from '@verbenashunt/schema';
 import type { AgentPeer } from '../peers/agents.js';
 import type { GenerationSpec } from './generation-spec.js';
@@ -50,6 +52,8 @@
   timeLeftMs: number;
   /** Tokens of the answer known. */
   known: number;
+  /** The request ran on a target that crashed. */
+  suspect: boolean;
 }
 
 export function offerOf(
@@ -79,6 +83,7 @@
     priority: spec.priority,
     maxTokens: Math.max(1, spec.maxTokens - known),
     promptTokens: spec.prompt.length + known,
+    suspect: ctx.suspect,
   };
 }
 
@@ -87,9 +92,9 @@
   from: number,
   peers: readonly AgentPeer[],
   index: number,
-  req: string,
+  { req, suspect }: { req: string; suspect: boolean },
 ): Adopt => ({
-  t: 'adopt', req, attempt: from, to: attempt.number, next: hopOf(peers[(index + 1) % peers.length]!),
+  t: 'adopt', req, suspect, attempt: from, to: attempt.number, next: hopOf(peers[(index + 1) % peers.length]!),
 });
 
 /** The frame of a repair's command. */
@@ -108,3 +113,34 @@
     t: 'start', req, attempt, tokens: command.tokens,
   };
 }
+
+/**
+ * The stages of an attempt with others in the place of the lost ones; undefined when there are
+ * too few. `taken` grows by the nodes that are chosen.
+ */
+export function replaceLost(
+  current: Attempt,
+  lost: ReadonlySet<string>,
+  taken: Set<string>,
+  choose: (range: LayerRange, taken: ReadonlySet<string>) => string | undefined,
+): AttemptStage[] | undefined {
+  const stages = current.stages.flatMap(({
+    node, lo, hi, replaced,
+  }): AttemptStage[] => {
+    const stage = { lo, hi, sent: [] };
+    // A replacement that was not set going holds nothing, and what it was told may not hold now.
+    if (!lost.has(node)) return [{ ...stage, node, replaced: replaced && !current.started }];
+    const other = choose({ lo, hi }, taken);
+    if (other === undefined) return [];
+    taken.add(other);
+    return [{ ...stage, node: other, replaced: true }];
+  });
+  return stages.length === current.stages.length ? stages : undefined;
+}
+
+/** What a repair is planned from, once every stage has reported. */
+export const queryOf = (
+  { stages }: Attempt,
+  prompt: number[],
+  delivered: number[],
+): RepairQuery => ({ stages: stages.map(({ report }) => report!), prompt, delivered });
--- a/packages/entry/src/requests/generation-spec.ts
+++ b/packages/entry/src/requests/generation-spec.ts
@@ -44,6 +44,17 @@
   agent(node: string): AgentPeer | undefined;
   /** Fences a request's attempts up to this one at a node, which also frees them there. */
   fence(node: string, req: string, attempt: number): void;
+  /**
+   * The target at a node crashed while it ran the request, alone among suspects or not; returns
+   * whether to try again.
+   */
+  crashed(spec: GenerationSpec, node: string, alone: boolean): boolean;
+  /** Whether the request ran on a target that crashed. */
+  isSuspect(req: string): boolean;
+  /** The request is given to these nodes and no others. */
+  placed(req: string, nodes: readonly string[]): void;
+  /** False when only requests that must be kept apart from this one are in the way of a chain. */
+  isApart(spec: GenerationSpec, avoid: ReadonlySet<string>): boolean;
   /** A failure was answered in this way. */
   recovered?(way: RecoveryWay): void;
   /** The generation is over; no further frame will be heard. */
--- a/packages/entry/src/requests/generation.ts
+++ b/packages/entry/src/requests/generation.ts
@@ -4,16 +4,18 @@
  * brought to their position; where that cannot be, another chain takes the tokens over as prompt.
  */
 import {
-  createRefusal, knownTokens, planRepair, type RefusalCode, type RepairQuery,
+  createRefusal, knownTokens, planRepair, type RefusalCode,
 } from '@verbenashunt/core';
 import type { Message } from '@verbenashunt/schema';
 import type { AgentPeer } from '../peers/agents.js';
 import {
-  adoptOf, frameOf, freshReport, isFresh, isReady, offerOf, type Attempt, type AttemptStage,
+  adoptOf, frameOf, freshReport, isFresh, isReady, offerOf, queryOf, replaceLost,
+  type Attempt, type AttemptStage,
 } from './attempt.js';
 import type {
   Generation, GenerationDeps, GenerationSink, GenerationSpec,
 } from './generation-spec.js';
+import { createProgressWatch, type ProgressWatch } from './progress-watch.js';
 import { createStallDetector } from './stall.js';
 
 export type * from './generation-spec.js';
@@ -21,10 +23,8 @@
 const offerTimeoutMs = 1000;
 const maxAttempts = 8;
 const maxRejoins = 3;
-/** Time without a token after which the stages are asked, and between two questions. */
-const probeMs = 300;
-/** A probe that fires this late tells of this process's own stall. */
-const ownStallMs = 100;
+/** Time between looks for a chain apart from other suspects. */
+const apartPollMs = 50;
 
 export function createGeneration(
   spec: GenerationSpec,
@@ -42,8 +42,9 @@
   let ran = false;
   let over = false;
   let tokenAt = 0;
-  let cancelProbe = () => {};
+  let watch: ProgressWatch | undefined;
   let cancelDeadline = () => {};
+  let cancelWait = () => {};
 
   const timeLeft = () => spec.deadline - deps.clock.now();
   const nodesOf = ({ stages }: Attempt) => stages.map(({ node }) => node);
@@ -74,8 +75,9 @@
   }
 
   function close() {
-    cancelProbe();
+    watch?.stop();
     cancelDeadline();
+    cancelWait();
     release();
     over = true;
     deps.closed();
@@ -83,11 +85,9 @@
 
   function refuse(code: RefusalCode) {
     close();
-    const told = ran ? 'interrupted' : code;
-    sink.refuse(createRefusal(told, {
-      ...(delivered.length > 0 ? { detail: `after ${delivered.length} tokens` } : {}),
-      ...(ran ? { ran: 'unknown' } : {}),
-    }));
+    const told = ran && code !== 'quarantined' ? 'interrupted' : code;
+    const detail = delivered.length > 0 ? { detail: `after ${delivered.length} tokens` } : {};
+    sink.refuse(createRefusal(told, { ...detail, ...(ran ? { ran: 'unknown' } : {}) }));
   }
 
   function peersOf(stages: readonly { node: string }[]): AgentPeer[] | undefined {
@@ -99,7 +99,12 @@
     const stage = current.stages[index]!;
     hold(stage.node, 1);
     send(stage, offerOf(current, peers, index, {
-      spec, entry: deps.entry, revision: deps.revision(), timeLeftMs: timeLeft(), known,
+      spec,
+      entry: deps.entry,
+      revision: deps.revision(),
+      timeLeftMs: timeLeft(),
+      known,
+      suspect: deps.isSuspect(req),
     }));
   }
 
@@ -115,14 +120,26 @@
     };
     attempts += 1;
     attempt = current;
+    deps.placed(req, nodesOf(current));
     stall.reset();
     return current;
   }
+  /** Holds nothing until a chain is free of other suspects. */
+  function waitApart(code: RefusalCode) {
+    release();
+    deps.placed(req, []);
+    cancelWait();
+    cancelWait = deps.clock.after(apartPollMs, () => begin(code));
+  }
   /* eslint-enable @typescript-eslint/no-use-before-define */
 
   function begin(code: RefusalCode) {
     const chain = deps.choose(spec, avoid);
     const peers = chain && peersOf(chain.stages);
+    if (!chain && !deps.isApart(spec, avoid)) {
+      waitApart(code);
+      return;
+    }
     if (!chain || !peers) {
       refuse(code);
       return;
@@ -145,21 +162,12 @@
     begin(code);
   }
 
-  function replacements(current: Attempt, lost: ReadonlySet<string>): AttemptStage[] | undefined {
-    const taken = new Set([...avoid, ...nodesOf(current)]);
-    const stages = current.stages.flatMap(({
-      node, lo, hi, replaced,
-    }): AttemptStage[] => {
-      const stage = { lo, hi, sent: [] };
-      // A replacement that was not set going holds nothing, and what it was told may not hold now.
-      if (!lost.has(node)) return [{ ...stage, node, replaced: replaced && !current.started }];
-      const other = deps.replace(spec, { lo, hi }, taken);
-      if (other === undefined) return [];
-      taken.add(other);
-      return [{ ...stage, node: other, replaced: true }];
-    });
-    return stages.length === current.stages.length ? stages : undefined;
-  }
+  const replacements = (current: Attempt, lost: ReadonlySet<string>) => replaceLost(
+    current,
+    lost,
+    new Set([...avoid, ...nodesOf(current)]),
+    (range, taken) => deps.replace(spec, range, taken),
+  );
 
   const canGoOn = (current: Attempt, lost: ReadonlySet<string>) => Boolean(
     replacements(current, lost) ?? deps.choose(spec, new Set([...avoid, ...lost])),
@@ -181,9 +189,14 @@
     deps.recovered?.('repair');
     const current = nextAttempt(stages, old.base);
     stages.forEach((stage, index) => {
-      if (!stage.replaced) send(stage, adoptOf(current, old.number, peers, index, req));
+      if (!stage.replaced) {
+        send(stage, adoptOf(current, old.number, peers, index, {
+          req, suspect: deps.isSuspect(req),
+        }));
+        return;
+      }
       // The last stage is offered once it is known from which position on it samples.
-      else if (index < stages.length - 1) offer(current, peers, index, delivered.length);
+      if (index < stages.length - 1) offer(current, peers, index, delivered.length);
     });
   }
 
@@ -206,10 +219,6 @@
     sink.token(value);
   }
 
-  function queryOf({ stages }: Attempt): RepairQuery {
-    return { stages: stages.map(({ report }) => report!), prompt: spec.prompt, delivered };
-  }
-
   function resumeAt(current: Attempt) {
     const last = current.stages.at(-1)!;
     deps.agent(last.node)?.send({
@@ -219,7 +228,7 @@
 
   /** Every stage is in place: sets the answer going. */
   function start(current: Attempt) {
-    const query = queryOf(current);
+    const query = queryOf(current, spec.prompt, delivered);
     const commands = planRepair(query);
     if (!commands) {
       restart('interrupted', false);
@@ -249,7 +258,7 @@
     if (isReady(current)) start(current);
     else if (last.sent.length === 0 && others.every((other) => other.report)) {
       Object.assign(last, { report: freshReport() });
-      const known = knownTokens(queryOf(current)).length;
+      const known = knownTokens(queryOf(current, spec.prompt, delivered)).length;
       delete last.report;
       const peers = peersOf(current.stages);
       if (peers) offer(current, peers, current.stages.length - 1, known);
@@ -281,37 +290,30 @@
   }
 
   function failed(node: string, message: Extract<Message, { t: 'fail' }>) {
-    if (message.code === 'hop_lost' && message.node) hopLost(message.node);
+    const crashed = message.code === 'target_lost' && ran;
+    const others = (message.suspects ?? 0) - (deps.isSuspect(req) ? 1 : 0);
+    if (crashed && !deps.crashed(spec, node, others <= 0)) refuse('quarantined');
+    else if (message.code === 'hop_lost' && message.node) hopLost(message.node);
     else fault([node]);
   }
 
   function refused(node: string, code: string) {
-    fault([node], code === 'busy' ? 'overloaded' : 'no_chain');
+    if (code === 'apart') waitApart('interrupted');
+    else fault([node], code === 'busy' ? 'overloaded' : 'no_chain');
   }
 
-  function probe() {
-    const due = deps.clock.now() + probeMs;
-    cancelProbe = deps.clock.after(probeMs, () => {
-      const late = deps.clock.now() - due > ownStallMs;
-      if (!attempt?.started || deps.clock.now() - tokenAt < probeMs || late) {
-        stall.reset();
-      } else {
-        const current = attempt;
-        const lost = new Set(stall.judge(nodesOf(current)));
-        // Where nothing else serves the layers the answer is better served by waiting.
-        if (lost.size > 0 && canGoOn(current, lost)) fault([...lost]);
-        else {
-          nodesOf(current).forEach((node) => deps.agent(node)?.send({
-            t: 'status', req, attempt: current.number,
-          }));
-        }
-      }
-      if (!over) probe();
-    });
-  }
+  watch = createProgressWatch({
+    clock: deps.clock,
+    stall,
+    progressAt: () => (attempt?.started ? tokenAt : undefined),
+    nodes: () => (attempt ? nodesOf(attempt) : []),
+    ask: (node) => deps.agent(node)?.send({ t: 'status', req, attempt: attempt!.number }),
+    // Where nothing else serves the layers the answer is better served by waiting.
+    mayLose: (lost) => canGoOn(attempt!, new Set(lost)),
+    lose: (lost) => fault(lost),
+  });
 
   cancelDeadline = deps.clock.after(Math.max(0, timeLeft()), () => refuse('deadline'));
-  probe();
   deps.retries.deposit();
   begin('no_chain');
 
--- a/packages/schema/src/validators.ts
+++ b/packages/schema/src/validators.ts
@@ -46,6 +46,7 @@
   rows: typed<platformTypes.Rows>(platform.validateRows),
   callRecord: typed<platformTypes.CallRecord>(platform.validateCallRecord),
   usageBatch: typed<platformTypes.UsageBatch>(platform.validateUsageBatch),
+  poisonRecord: typed<platformTypes.PoisonRecord>(platform.validatePoisonRecord),
   vmList: typed<platformTypes.VmList>(platform.validateVmList),
   vm: typed<platformTypes.Vm>(platform.validateVm),
   engineOp: typed<engineTypes.EngineOp>(engine.validateEngineOp),
--- a/test/support/chain-world.ts
+++ b/test/support/chain-world.ts
@@ -223,6 +223,10 @@
     entry: entryName,
     retries: { deposit: () => {}, withdraw: () => true },
     revision: () => 1,
+    crashed: () => true,
+    placed() {},
+    isApart: () => true,
+    isSuspect: () => false,
     agent,
     fence(node, id, attempt) {
       fences.send(node, { t: 'cancel', req: id, attempt }, agent(node)?.send);
