--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -25,3 +25,5 @@
 export * from './membership/directory.js';
 export * from './retry/repair.js';
 export * from './orders/decide.js';
+export * from './query/query.js';
+export * from './query/why.js';
--- a/packages/core/src/poison/suspects.ts
+++ b/packages/core/src/poison/suspects.ts
@@ -19,6 +19,7 @@
   /** A target crashed while it ran the request, alone among suspects or not. */
   crash(req: string, alone: boolean): CrashVerdict;
   isSuspect(req: string): boolean;
+  nodesOf(req: string): string[];
   /** Nodes that a suspect must keep away from; none for a request that is not suspect. */
   occupied(req: string): ReadonlySet<string>;
   /** Whether a request shares a node that it must keep away from. */
@@ -59,6 +60,7 @@
       return tracked.crashes >= (alone ? maxCrashesAlone : maxCrashes) ? 'quarantine' : 'retry';
     },
     isSuspect: (req) => (requests.get(req)?.crashes ?? 0) > 0,
+    nodesOf: (req) => [...requests.get(req)?.nodes ?? []],
     occupied,
     isMixed: (req) => [...requests.get(req)?.nodes ?? []].some((node) => occupied(req).has(node)),
     fingerprintOf: (req) => requests.get(req)?.fingerprint,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -22,7 +22,7 @@
 import { createCallRecords } from './requests/call-records.js';
 import { createFences } from './requests/fences.js';
 import { createGeneration } from './requests/generation.js';
-import { createRequestRegistry, type RequestRun } from './requests/registry.js';
+import { createRequestRegistry, type RequestInfo, type RequestRun } from './requests/registry.js';
 import { createQuarantine } from './requests/quarantine.js';
 import { createEntryRetries } from './requests/retries.js';
 import { createServiceCall } from './requests/service-call.js';
@@ -139,13 +139,19 @@
   }
 
   /** Creates a run and keeps it registered until it closes. */
-  function register<T extends RequestRun>(req: string, create: (closed: () => void) => T): T {
+  function register<T extends RequestRun>(
+    {
+      req, org, cls, model,
+    }: RequestInfo,
+    create: (closed: () => void) => T,
+  ): T {
     let closed = false;
     const run = create(() => {
       closed = true;
       registry.remove(req);
     });
-    if (!closed) registry.add(req, run);
+    const info = { req, org, cls };
+    if (!closed) registry.add(model === undefined ? info : { ...info, model }, run);
     return run;
   }
 
@@ -178,7 +184,7 @@
     otherEntries: () => otherEntries,
     startGeneration(spec, sink) {
       quarantine.begin(spec);
-      return register(spec.req, (closed) => createGeneration(spec, sink, {
+      return register(spec, (closed) => createGeneration(spec, sink, {
         ...shared,
         choose: quarantine.chain(routing.chain),
         replace: quarantine.stage(routing.stage),
@@ -192,7 +198,7 @@
         },
       }));
     },
-    startCall: (spec, targets, sink) => register(spec.req, (closed) => createServiceCall(
+    startCall: (spec, targets, sink) => register(spec, (closed) => createServiceCall(
       spec,
       sink,
       {
@@ -239,6 +245,9 @@
       revision: config.revision,
       inFlight: registry.size,
       agents: peers.list().map(({ send, ...peer }) => peer),
+      requests: registry.list().map((info) => ({
+        ...info, nodes: quarantine.nodesOf(info.req), suspect: quarantine.isSuspect(info.req),
+      })),
     }),
   });
 
--- a/packages/entry/src/peers/agents.ts
+++ b/packages/entry/src/peers/agents.ts
@@ -21,6 +21,8 @@
   host: string;
   port: number;
   incarnation: number;
+  /** Configuration revision that it last spoke of. */
+  revision: number;
   state: TargetState;
   /** Requests of this entry that the agent holds. */
   own: number;
@@ -87,6 +89,7 @@
     host: vm.host,
     port: vm.port,
     incarnation: peer.incarnation,
+    revision: peer.revision,
     state,
     own: 0,
     ownAtReport: 0,
@@ -162,6 +165,9 @@
       directory.heard(peer.node, peer.state, clock.now());
       reconcileSoon();
     }
+    if (message.t === 'pong' && message.revision !== undefined) {
+      Object.assign(peer, { revision: message.revision });
+    }
     if ('load' in message && message.load) {
       Object.assign(peer, {
         state: { ...peer.state, load: message.load }, ownAtReport: peer.own,
--- a/packages/entry/src/requests/quarantine.ts
+++ b/packages/entry/src/requests/quarantine.ts
@@ -31,6 +31,8 @@
   /** Returns whether the request may be tried again. */
   crashed(spec: GenerationSpec, alone: boolean): boolean;
   isSuspect(req: string): boolean;
+  /** Nodes that run the request now. */
+  nodesOf(req: string): string[];
   placed(req: string, nodes: readonly string[]): void;
   /** Chooses by `choose`, for a suspect apart from other suspects. */
   chain(choose: ChooseChain): ChooseChain;
@@ -150,6 +152,7 @@
       return verdict === 'retry';
     },
     isSuspect: suspects.isSuspect,
+    nodesOf: suspects.nodesOf,
     placed: suspects.place,
     chain: (choose) => (spec, avoid) => choose(spec, apartFrom(spec, avoid)),
     stage: (choose) => (spec, range, avoid) => (suspects.isMixed(spec.req)
--- a/packages/entry/src/requests/registry.ts
+++ b/packages/entry/src/requests/registry.ts
@@ -11,9 +11,19 @@
   cancel(): void;
 }
 
+/** What is known of a request in flight. */
+export interface RequestInfo {
+  req: string;
+  org: string;
+  cls: string;
+  /** Absent for a call to a plain service. */
+  model?: string;
+}
+
 export interface RequestRegistry {
   readonly size: number;
-  add(req: string, run: RequestRun): void;
+  add(info: RequestInfo, run: RequestRun): void;
+  list(): RequestInfo[];
   remove(req: string): void;
   /** Passes frames of another request, which may be of another entry, to this one as well. */
   follow(other: string, req: string): void;
@@ -25,6 +35,7 @@
 /** Creates a registry; frames of unknown requests are counted and dropped. */
 export function createRequestRegistry(onForeign: () => void): RequestRegistry {
   const runs = new Map<string, RequestRun>();
+  const infos = new Map<string, RequestInfo>();
   /** Followers by the request that they follow. */
   const followers = new Map<string, Set<string>>();
 
@@ -39,9 +50,14 @@
     get size() {
       return runs.size;
     },
-    add: (req, run) => runs.set(req, run),
+    add(info, run) {
+      runs.set(info.req, run);
+      infos.set(info.req, info);
+    },
+    list: () => [...infos.values()],
     remove(req) {
       runs.delete(req);
+      infos.delete(req);
       unfollow(req);
     },
     follow(other, req) {
--- a/test/requests/retries.test.ts
+++ b/test/requests/retries.test.ts
@@ -22,6 +22,7 @@
       host: 'h',
       port: 1,
       incarnation: 1,
+      revision: 1,
       own: 0,
       state: {} as AgentPeer['state'],
       send(message) {
--- a/test/support/chain-world.ts
+++ b/test/support/chain-world.ts
@@ -193,6 +193,7 @@
       host: name,
       port: 1,
       incarnation: 1,
+      revision: 1,
       own: 0,
       state: {} as AgentPeer['state'],
       send: (message) => toNode(entryName, name, message),
