Start requests in a module of their own

Change: createRequestStarter holds what requests share; behaviour unchanged. Seen: test/golden, requests/poison and requests/once, 15 passed; lint and types.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -21,11 +21,10 @@
 import { createAgentPeers } from './peers/agents.js';
 import { createCallRecords } from './requests/call-records.js';
 import { createFences } from './requests/fences.js';
-import { createGeneration } from './requests/generation.js';
-import { createRequestRegistry, type RequestInfo, type RequestRun } from './requests/registry.js';
+import { createRequestRegistry } from './requests/registry.js';
 import { createQuarantine } from './requests/quarantine.js';
 import { createEntryRetries } from './requests/retries.js';
-import { createServiceCall } from './requests/service-call.js';
+import { createRequestStarter } from './requests/starter.js';
 import { createRouting } from './routing/routing.js';
 import { createUsage } from './usage/usage.js';
 
@@ -59,8 +58,6 @@
   const events = new Emittery<EntryEvents>();
   const metrics = createEntryMetrics();
   const platform = createPlatformClient(cfg.platformUrl);
-  const records = createCallRecords(platform);
-  const retries = createEntryRetries(clock);
   const fences = createFences(clock);
   const requestTimeoutMs = cfg.requestTimeoutMs ?? 60_000;
   let stopping = false;
@@ -138,35 +135,6 @@
     cancelVmPoll = clock.after(periodMs * (0.75 + random() / 2), pollVms);
   }
 
-  /** Creates a run and keeps it registered until it closes. */
-  function register<T extends RequestRun>(
-    {
-      req, org, cls, model,
-    }: RequestInfo,
-    create: (closed: () => void) => T,
-  ): T {
-    let closed = false;
-    const run = create(() => {
-      closed = true;
-      registry.remove(req);
-    });
-    const info = { req, org, cls };
-    if (!closed) registry.add(model === undefined ? info : { ...info, model }, run);
-    return run;
-  }
-
-  const shared = {
-    clock,
-    random,
-    retries,
-    fence(node: string, req: string, attempt: number) {
-      fences.send(node, { t: 'cancel', req, attempt }, peers.get(node)?.send);
-    },
-    entry: cfg.node,
-    revision: () => config.revision,
-    agent: peers.get,
-  };
-
   const routing = createRouting({
     clock, place: cfg, peers, random,
   });
@@ -182,33 +150,19 @@
     routing,
     maxQueue: cfg.maxQueue ?? 1000,
     otherEntries: () => otherEntries,
-    startGeneration(spec, sink) {
-      quarantine.begin(spec);
-      return register(spec, (closed) => createGeneration(spec, sink, {
-        ...shared,
-        choose: quarantine.chain(routing.chain),
-        replace: quarantine.stage(routing.stage),
-        crashed: (_, __, alone) => quarantine.crashed(spec, alone),
-        isSuspect: quarantine.isSuspect,
-        placed: quarantine.placed,
-        isApart: quarantine.isApart(routing.chain),
-        closed() {
-          quarantine.end(spec.req);
-          closed();
-        },
-      }));
-    },
-    startCall: (spec, targets, sink) => register(spec, (closed) => createServiceCall(
-      spec,
-      sink,
-      {
-        ...shared,
-        closed,
-        records,
-        follow: (other) => registry.follow(other, spec.req),
-        choose: (avoid) => routing.target(targets, avoid),
-      },
-    )),
+    ...createRequestStarter({
+      clock,
+      random,
+      entry: cfg.node,
+      revision: () => config.revision,
+      retries: createEntryRetries(clock),
+      fences,
+      records: createCallRecords(platform),
+      registry,
+      peers,
+      routing,
+      quarantine,
+    }),
   });
 
   const readBody = createBodyReader({ maxBufferedBytes: cfg.maxBufferedBytes ?? 67_108_864 });
