Fail a stage in one place, and use the exported generator in the soak run

Cause: read over the whole change: engineLost wrote out what fail does, and bench/soak.ts passed by the package's API for createRandom, which it exports. Change: fail takes the details of a failure; the import goes by the package. Behaviour unchanged.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -6,9 +6,7 @@
 import { parseArgs } from 'node:util';
 import { fileURLToPath } from 'node:url';
 import { request } from 'undici';
-import { startWholePath } from '@verbenashunt/stand-ins';
-// eslint-disable-next-line import-x/no-relative-packages -- the generator is not part of the API
-import { createRandom } from '../packages/stand-ins/src/load/model/random.js';
+import { createRandom, startWholePath } from '@verbenashunt/stand-ins';
 import { createCaller, createFindings } from './soak/callers.js';
 import { createFaults, type FaultKind } from './soak/faults.js';
 
--- a/packages/agent/src/stages/stage-table.ts
+++ b/packages/agent/src/stages/stage-table.ts
@@ -33,6 +33,9 @@
 
 export type StageEvent = 'accepted' | 'refused' | 'completed' | 'failed' | 'dropped' | 'cancelled' | 'adopted' | 'expired';
 
+/** What a failure tells besides its code. */
+type FailureDetails = Pick<Fail, 'node' | 'suspects'>;
+
 export interface StageTable {
   offer(offer: Offer, reply: Stage['reply']): void;
   start(start: Start): void;
@@ -92,11 +95,7 @@
     if (stage && stage.offer.attempt <= attempt) drop(stage);
   }
 
-  function tellFailure(
-    stage: Stage,
-    code: string,
-    details: Pick<Fail, 'node' | 'suspects'> = {},
-  ) {
+  function tellFailure(stage: Stage, code: string, details: FailureDetails = {}) {
     const { req, attempt } = stage.offer;
     const message: Fail = {
       t: 'fail', req, attempt, code, ...details,
@@ -105,8 +104,8 @@
     deps.count('failed');
   }
 
-  function fail(stage: Stage, code: string) {
-    tellFailure(stage, code);
+  function fail(stage: Stage, code: string, details?: FailureDetails) {
+    tellFailure(stage, code, details);
     fence(stage.offer.req, stage.offer.attempt);
   }
 
@@ -287,10 +286,7 @@
     },
     engineLost() {
       const details = { suspects: suspects().length };
-      [...stages.values()].forEach((stage) => {
-        tellFailure(stage, 'target_lost', details);
-        fence(stage.offer.req, stage.offer.attempt);
-      });
+      [...stages.values()].forEach((stage) => fail(stage, 'target_lost', details));
     },
     hopLost(node) {
       [...stages.values()].filter(({ offer, ended }) => offer.next.node === node && !ended)
