Choose chains by reported load and pace, and keep them in their zones

The first layout was planned six orders at a time, each time from half-filled zones, so that late hosts became copies (18 layers on a host: 30,410 tokens, 1,495 refused arrivals).

Change: the whole layout is queued at once; empty hosts take ranges counted one after the other; entries ask the engines that they use for KV use and pace; the lease holder asks all and plans without those that give no answer three times; a first stage in another zone costs more.

--- a/packages/core/src/placement/zone-plan.ts
+++ b/packages/core/src/placement/zone-plan.ts
@@ -92,19 +92,19 @@
 
 const better = (a: Filling | undefined, b: Filling) => (a && a.kvTokens >= b.kvTokens ? a : b);
 
-/** Fills a hole with as few empty hosts as can hold it. */
+/** Fills a hole with as few empty hosts as leave `wanted` KV tokens, or with all of them. */
 function fillWithEmpty(
   engine: EngineModel,
   empty: readonly LayerHost[],
   hole: LayerRange,
+  wanted: number,
 ): Filling | undefined {
-  const least = minKvTokens(engine);
-  const count = empty
-    .findIndex((_, i) => maxKvTokens(engine, empty.slice(0, i + 1), lengthOf(hole)) >= least) + 1;
-  if (count === 0) return undefined;
-  const hosts = empty.slice(0, count);
-  const ranges = layChain(engine, hosts, hole);
-  return ranges && { ranges, kvTokens: maxKvTokens(engine, hosts, lengthOf(hole)) };
+  const kvOfFirst = (count: number) => maxKvTokens(engine, empty.slice(0, count), lengthOf(hole));
+  const count = empty.findIndex((_, i) => kvOfFirst(i + 1) >= wanted) + 1 || empty.length;
+  const kvTokens = kvOfFirst(count);
+  if (count === 0 || kvTokens < minKvTokens(engine)) return undefined;
+  const ranges = layChain(engine, empty.slice(0, count), hole);
+  return ranges && { ranges, kvTokens };
 }
 
 /** Extends the hosts on one or both sides of a hole over it, so that most KV cache is left. */
@@ -134,6 +134,14 @@
   return best && best.kvTokens >= minKvTokens(engine) ? best : undefined;
 }
 
+/** KV tokens that the hosts of a range have together, at its layer with the fewest. */
+function kvTokensOver(engine: EngineModel, holders: readonly Holder[], range: LayerRange): number {
+  const layers = Array.from({ length: lengthOf(range) }, (_, i) => range.lo + i);
+  return Math.min(...layers.map((layer) => holders
+    .filter(({ held }) => held.lo <= layer && held.hi > layer)
+    .reduce((sum, holder) => sum + kvOf(engine, holder, lengthOf(holder.held)), 0)));
+}
+
 /** Fills the first hole that can be filled; empty when none can. */
 function fillHoles(
   engine: EngineModel,
@@ -142,7 +150,10 @@
 ): PlacedRange[] {
   const holders = group.filter(isHolder);
   const empty = group.filter((host) => !isHolder(host)).sort(byMemory);
-  const fillings = holes.flatMap((hole) => fillWithEmpty(engine, empty, hole)
+  const wanted = copyShare * Math.min(
+    ...holders.map((holder) => kvOf(engine, holder, lengthOf(holder.held))),
+  );
+  const fillings = holes.flatMap((hole) => fillWithEmpty(engine, empty, hole, wanted)
     ?? fillFromSides(engine, holders, hole)
     ?? []);
   return fillings[0]?.ranges ?? [];
@@ -153,23 +164,31 @@
   engine: EngineModel,
   holders: readonly Holder[],
   host: LayerHost,
-): PlacedRange | undefined {
-  const kvNow = (holder: Holder) => kvOf(engine, holder, lengthOf(holder.held));
+): Holder | undefined {
+  const kvNow = ({ held }: Holder) => kvTokensOver(engine, holders, held);
   const weakest = holders
-    .filter((holder) => kvOf(engine, host, lengthOf(holder.held)) >= copyShare * kvNow(holder))
+    .filter((holder) => kvOf(engine, host, lengthOf(holder.held))
+      >= copyShare * kvOf(engine, holder, lengthOf(holder.held)))
     .reduce<Holder | undefined>((worst, holder) => (
       !worst || kvNow(holder) < kvNow(worst) ? holder : worst), undefined);
-  return weakest && { id: host.id, ...weakest.held };
+  return weakest && { ...host, held: weakest.held };
 }
 
-/** Ranges to order for one group; empty when nothing is to change. */
+/** Copies for all empty hosts, each counted before the next is chosen. */
+const copies = (engine: EngineModel, group: readonly LayerHost[]) => group
+  .filter((host) => !isHolder(host))
+  .reduce((holders, host) => {
+    const copy = copyFor(engine, holders, host);
+    return copy ? [...holders, copy] : holders;
+  }, group.filter(isHolder))
+  .map(({ id, held }): PlacedRange => ({ id, ...held }));
+
+/** Ranges to order for one group, beside those that stand. */
 function planGroup(engine: EngineModel, group: readonly LayerHost[]): PlacedRange[] {
   const holders = group.filter(isHolder);
   if (holders.length === 0) return canHold(engine, group) ? layGroup(engine, group) : [];
   const holes = holesIn(holders.map(({ held }) => held), engine.layers);
-  if (holes.length > 0) return fillHoles(engine, group, holes);
-  return group.filter((host) => !isHolder(host))
-    .flatMap((host) => copyFor(engine, holders, host) ?? []);
+  return holes.length > 0 ? fillHoles(engine, group, holes) : copies(engine, group);
 }
 
 /** A chain laid out anew, when what is held covers the model in no way and can't be added to. */
--- a/packages/core/src/serving/chain-choice.ts
+++ b/packages/core/src/serving/chain-choice.ts
@@ -27,7 +27,7 @@
 /** Milliseconds that a stage adds to each token beside its own work. */
 const hopMs = 0.02;
 /** Cost of a first stage outside the entry's zone in milliseconds a token; keeps zones apart. */
-const otherZoneMs = 0.5;
+const otherZoneMs = 5;
 /** Prompts that are thought to wait for the pipe before one more. */
 const pipeCrowding = 4;
 /** Cost of the first way into another zone in milliseconds a token; keeps chains inside one. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,6 +20,7 @@
 import { startRun } from './requests/run.js';
 import type { RequestRun, RequestSpec } from './requests/spec.js';
 import { createStallWatch } from './requests/stall-watch.js';
+import { createLoadMonitor } from './routing/load-monitor.js';
 import { createSelector } from './routing/selector.js';
 import { followTable } from './store/follow.js';
 import { createLeaseKeeper } from './store/lease-keeper.js';
@@ -89,7 +90,17 @@
   };
   const lease = createLeaseKeeper({ ...followDeps, node: cfg.node });
   const selector = createSelector({
-    clock, random, zone: cfg.zone, targets, entries: lease.entries,
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- each refers to the other
+    clock, random, zone: cfg.zone, targets, entries: lease.entries, load: () => load,
+  });
+  const load = createLoadMonitor({
+    clock,
+    log,
+    exchanger,
+    protocol: ports.targets,
+    ownTokens: selector.ownTokens,
+    engines: () => targets.all.filter(({ id, held, zone }) => held !== undefined
+      && (lease.token() !== undefined || zone === cfg.zone || selector.ownTokens(id) > 0)),
   });
 
   const stalls = createStallWatch({
@@ -135,6 +146,7 @@
     lease,
     exchanger,
     protocol: ports.targets,
+    isDead: load.isDead,
   });
 
   function retriesOf(service: string): RetryWindow {
@@ -262,6 +274,7 @@
       probes.forEach((probe) => probe.close());
       server?.destroy();
       stalls.close();
+      load.close();
       exchanger.close();
       store.close();
       log.info({ whole }, 'stopped');
--- a/packages/gateway/src/placement/controller.ts
+++ b/packages/gateway/src/placement/controller.ts
@@ -17,6 +17,8 @@
   lease: LeaseKeeper;
   exchanger: Exchanger;
   protocol: TargetProtocol;
+  /** The target has given no answer for long enough to plan without it. */
+  isDead(id: string): boolean;
 }
 
 export interface PlacementController {
@@ -43,6 +45,8 @@
     clock, log, config, targets, lease, exchanger, protocol,
   } = deps;
   const pending = new Map<string, Pending>();
+  /** Ranges that are planned and wait for their turn, by target. */
+  const queued = new Map<string, PlacedRange>();
   /** Targets with a call under way. */
   const calling = new Set<string>();
   let signature = '';
@@ -65,10 +69,12 @@
     if (token === undefined) return;
     const { busy, orders, held } = await report(target);
     if (sameRange(held, range)) {
+      queued.delete(target.id);
       targets.apply({ id: target.id, target: { ...target, held } });
       return;
     }
     if (busy) return;
+    queued.delete(target.id);
     const { status } = await exchangeOnce(exchanger, target.address, protocol.placeRequest(target, {
       lo: range.lo, hi: range.hi, fencingToken: token, expectedOrders: orders,
     }), callTimeoutMs);
@@ -107,9 +113,9 @@
 
   function hostsOf(service: string, engine: EngineModel): LayerHost[] {
     return targets.ofService(service)
-      .filter(({ draining }) => !draining)
+      .filter(({ draining, id }) => !draining && !deps.isDead(id))
       .flatMap((target) => toLayerHost(engine, target) ?? [])
-      .map((host) => ({ ...host, held: pending.get(host.id) ?? host.held }));
+      .map((host) => ({ ...host, held: queued.get(host.id) ?? pending.get(host.id) ?? host.held }));
   }
 
   function settled(hosts: readonly LayerHost[]): boolean {
@@ -124,13 +130,12 @@
   function place(service: string, engine: EngineModel) {
     const hosts = hostsOf(service, engine);
     if (hosts.length === 0 || !settled(hosts)) return;
-    const free = engine.loadsAtOnce - pending.size;
-    planLayers(engine, hosts)
-      .filter(({ id }) => !pending.has(id) && !calling.has(id))
-      .slice(0, Math.max(0, free))
+    planLayers(engine, hosts).forEach((range) => queued.set(range.id, range));
+    [...queued.values()]
+      .filter(({ id }) => targets.byId(id)?.service === service && !calling.has(id))
+      .slice(0, Math.max(0, engine.loadsAtOnce - pending.size - calling.size))
       .forEach((range) => {
-        const target = targets.byId(range.id);
-        if (target) call(target, () => order(target, range, engine));
+        call(targets.byId(range.id)!, () => order(targets.byId(range.id)!, range, engine));
       });
   }
 
@@ -138,7 +143,12 @@
     if (isClosed) return;
     cancel = clock.after(tickMs, tick);
     const { view } = config;
-    if (!view || lease.token() === undefined) return;
+    if (!view || lease.token() === undefined) {
+      queued.clear();
+      return;
+    }
+    const isGone = (id: string) => targets.byId(id)?.draining ?? true;
+    [...queued.keys()].filter(isGone).forEach((id) => queued.delete(id));
     pending.forEach((expected, id) => {
       const target = targets.byId(id);
       if (!target || target.draining) pending.delete(id);
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -124,7 +124,7 @@
     }, 'attempt failed');
     if (culprit !== undefined) {
       avoid.add(culprit);
-      if (end === 'unsent') selector.health.failed(culprit);
+      if (end === 'unsent') selector.failed(culprit);
       else selector.health.doubted(culprit);
     }
     life = afterAttempt(life, end);
@@ -169,7 +169,7 @@
     const culprit = selector.idAt(spec.service, address);
     if (culprit !== undefined) {
       avoid.add(culprit);
-      selector.health.failed(culprit);
+      selector.failed(culprit);
     }
     const from = choice!;
     const next = selector.reroute(spec, from, avoid);
@@ -205,7 +205,7 @@
   function abandon(reason: string) {
     if (isOver || !attempt) return;
     attempt.abort();
-    selector.health.failed(choice!.target.id);
+    selector.failed(choice!.target.id);
     failed({
       end: 'unknown', reason, blamed: undefined, answer: undefined,
     });
--- /dev/null
+++ b/packages/gateway/src/routing/load-monitor.ts
@@ -0,0 +1,141 @@
+/**
+ * Asks engines for their load and pace. An entry asks those that its own requests pass through and
+ * those of its zone; the one that holds the lease asks all, and so finds the dead before their rows
+ * lapse.
+ */
+import type { Logger } from 'pino';
+import {
+  BaseError, correctedActive, errorCode, type Clock, type ServingTarget,
+} from '@verbenashunt/core';
+import { exchangeOnce, type Exchanger } from '@verbenashunt/wire';
+import type { TargetProtocol } from '../ports.js';
+
+export interface LoadMonitorDeps {
+  clock: Clock;
+  log: Logger;
+  exchanger: Exchanger;
+  protocol: TargetProtocol;
+  /** Engines to ask at this time. */
+  engines(): readonly ServingTarget[];
+  /** Tokens of this entry's requests at a target. */
+  ownTokens(id: string): number;
+}
+
+export interface LoadMonitor {
+  /** Tokens of all entries' requests at a target, as far as is known. */
+  tokensAt(id: string): number;
+  /** Factor on a target's time; 1 when healthy or not known. */
+  slowdownOf(id: string): number;
+  /** The target gave no report several times in a row. */
+  isDead(id: string): boolean;
+  /** Asks a target soon, since a request found it failing. */
+  check(id: string): void;
+  close(): void;
+}
+
+/** Time between questions to one target in milliseconds. */
+const periodMs = 1500;
+/** Time to the next question after one without an answer in milliseconds. */
+const againMs = 150;
+/** Time for a target to answer in milliseconds. */
+const answerTimeoutMs = 400;
+/** Questions in a row without an answer after which a target is taken for dead. */
+const maxMisses = 3;
+/** Time between looks at what is due in milliseconds. */
+const tickMs = 100;
+
+interface Known {
+  dueAt: number;
+  isAsking: boolean;
+  misses: number;
+  slowdown: number;
+  /** Tokens of all requests at the last report; undefined before the first. */
+  reported: number | undefined;
+  /** Tokens of this entry's requests at that time. */
+  ownAtReport: number;
+}
+
+export function createLoadMonitor(deps: LoadMonitorDeps): LoadMonitor {
+  const {
+    clock, log, exchanger, protocol, ownTokens,
+  } = deps;
+  const known = new Map<string, Known>();
+  let cancel = () => {};
+  let isClosed = false;
+
+  function stateOf(id: string): Known {
+    const found = known.get(id);
+    if (found) return found;
+    const created: Known = {
+      dueAt: 0, isAsking: false, misses: 0, slowdown: 1, reported: undefined, ownAtReport: 0,
+    };
+    known.set(id, created);
+    return created;
+  }
+
+  async function ask(target: ServingTarget, state: Known) {
+    const ownAtReport = ownTokens(target.id);
+    const { status, body } = await exchangeOnce(
+      exchanger,
+      target.address,
+      protocol.reportRequest(target),
+      answerTimeoutMs,
+    );
+    const { slowdown, kvUsed, held } = protocol.decodeReport(status, body);
+    if (slowdown !== state.slowdown) log.info({ target: target.id, slowdown }, 'target changed its pace');
+    if (state.misses >= maxMisses) log.info({ target: target.id }, 'target answers again');
+    Object.assign(state, {
+      misses: 0,
+      slowdown,
+      ownAtReport,
+      reported: held ? kvUsed / (held.hi - held.lo) : 0,
+      dueAt: clock.now() + periodMs,
+    });
+  }
+
+  function missed(target: ServingTarget, state: Known, err: unknown) {
+    const misses = state.misses + 1;
+    Object.assign(state, { misses, dueAt: clock.now() + againMs });
+    if (misses !== maxMisses) return;
+    const error = BaseError.normalize(err);
+    log.warn({ target: target.id, code: errorCode(error), err: error.message }, 'target is dead');
+  }
+
+  function tick() {
+    if (isClosed) return;
+    cancel = clock.after(tickMs, tick);
+    const engines = deps.engines();
+    const ids = new Set(engines.map(({ id }) => id));
+    [...known.keys()].filter((id) => !ids.has(id)).forEach((id) => known.delete(id));
+    engines.forEach((target) => {
+      const state = stateOf(target.id);
+      if (state.isAsking || state.dueAt > clock.now()) return;
+      state.isAsking = true;
+      ask(target, state).catch((err) => missed(target, state, err))
+        .finally(() => {
+          state.isAsking = false;
+        });
+    });
+  }
+  tick();
+
+  return {
+    tokensAt(id) {
+      const state = known.get(id);
+      const own = ownTokens(id);
+      return state?.reported === undefined
+        ? own
+        : correctedActive(state.reported, state.ownAtReport, own);
+    },
+    slowdownOf: (id) => Math.max(1, known.get(id)?.slowdown ?? 1),
+    isDead: (id) => (known.get(id)?.misses ?? 0) >= maxMisses,
+    check(id) {
+      const state = known.get(id);
+      if (state) state.dueAt = 0;
+    },
+    close() {
+      isClosed = true;
+      cancel();
+    },
+  };
+}
--- a/packages/gateway/src/routing/selector.ts
+++ b/packages/gateway/src/routing/selector.ts
@@ -1,10 +1,11 @@
 /** Chooses where an attempt goes, and keeps what this entry has in flight at each target. */
 import {
-  chooseService, chooseServingChain, createTargetHealth, kvTokensBeside,
+  chooseService, chooseServingChain, createTargetHealth,
   type ChainStage, type Clock, type ServingService, type ServingTarget, type TargetTable,
 } from '@verbenashunt/core';
 import type { ChainPart } from '../ports.js';
 import type { RequestSpec } from '../requests/spec.js';
+import type { LoadMonitor } from './load-monitor.js';
 
 /** Where an attempt goes. */
 export interface Choice {
@@ -22,6 +23,8 @@
   targets: TargetTable;
   /** Entries that are thought to send work as this one does. */
   entries(): number;
+  /** Load of engines; set once it is created, as it asks for this entry's own share. */
+  load(): Pick<LoadMonitor, 'tokensAt' | 'slowdownOf' | 'isDead' | 'check'>;
 }
 
 /** Requests that a plain service is taken to run at once where it doesn't say. */
@@ -80,12 +83,11 @@
       engine: spec.service.engine!,
       size: spec.size,
       zone: fromZone,
-      // Other entries prefer the targets of their own zones.
-      tokensAt: (id: string) => tokens.get(id) ?? 0,
-      slowdownOf: () => 1,
+      tokensAt: deps.load().tokensAt,
+      slowdownOf: deps.load().slowdownOf,
       fromLayer,
     };
-    const sound = ready.filter(({ id }) => !health.isSuspect(id));
+    const sound = ready.filter(({ id }) => !health.isSuspect(id) && !deps.load().isDead(id));
     return chooseServingChain({ ...query, targets: sound })
       ?? chooseServingChain({ ...query, targets: ready });
   }
@@ -128,13 +130,13 @@
     /** Id of the target at an address, where it is known. */
     idAt: (service: ServingService, address: string) => targets.ofService(service.name)
       .find((target) => target.address === address)?.id,
-    /** KV tokens in use from here, as a share of what the target can hold. */
-    load(service: ServingService, { id, kind, held }: ServingTarget): number {
-      const memoryMb = service.engine?.kinds.find(({ name }) => name === kind)?.memoryMb;
-      if (!service.engine || memoryMb === undefined || !held) return 0;
-      const room = kvTokensBeside(service.engine, memoryMb, held.hi - held.lo);
-      return room > 0 ? (tokens.get(id) ?? 0) / room : 1;
+    /** The target is dead or can't be reached, as a request found. */
+    failed(id: string) {
+      health.failed(id);
+      deps.load().check(id);
     },
+    /** Tokens of this entry's requests at a target. */
+    ownTokens: (id: string) => tokens.get(id) ?? 0,
   };
 }
 
