--- a/packages/core/src/serving/retry-window.ts
+++ b/packages/core/src/serving/retry-window.ts
@@ -4,13 +4,18 @@
  */
 import type { Clock } from '../clock/clock.js';
 
-export interface RetryWindowOptions {
-  clock: Clock;
+export interface RetryLimits {
   /** Repeats allowed for each first request. */
   ratio: number;
   /** Repeats in a window that all entries together may make beyond the ratio. */
   extra: number;
   windowMs: number;
+}
+
+export interface RetryWindowOptions {
+  clock: Clock;
+  /** Limits in force; settings may change them. */
+  limits(): RetryLimits;
   /** Entries that share the allowance. */
   entries(): number;
 }
@@ -32,21 +37,22 @@
 }
 
 export function createRetryWindow(options: RetryWindowOptions): RetryWindow {
-  const { clock, windowMs } = options;
+  const { clock, limits } = options;
   const firsts: number[] = [];
   const repeats: number[] = [];
 
   return {
     deposit() {
-      dropBefore(firsts, clock.now() - windowMs);
+      dropBefore(firsts, clock.now() - limits().windowMs);
       firsts.push(clock.now());
     },
     withdraw() {
+      const { ratio, extra, windowMs } = limits();
       const since = clock.now() - windowMs;
       dropBefore(firsts, since);
       dropBefore(repeats, since);
-      const share = options.extra / Math.max(1, options.entries());
-      const allowed = usedShare * (share + options.ratio * firsts.length);
+      const share = extra / Math.max(1, options.entries());
+      const allowed = usedShare * (share + ratio * firsts.length);
       if (repeats.length + 1 > allowed) return false;
       repeats.push(clock.now());
       return true;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,11 +1,12 @@
 /** The gateway: an entry that owns callers' requests and calls targets directly. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { isDeepStrictEqual } from 'node:util';
 import Emittery from 'emittery';
 import type { Logger } from 'pino';
 import {
   BaseError, createRefusal, createRetryWindow, createServingConfigHolder, createTargetTable,
   errorCode, pickService, RefusalError, SystemClock,
-  type Clock, type RetryWindow, type ServingRoute, type ServingService, type ServingTarget,
+  type Clock, type RetryLimits, type RetryWindow, type ServingRoute, type ServingService, type ServingTarget,
   type ServingView,
 } from '@verbenashunt/core';
 import { createExchanger, drain } from '@verbenashunt/wire';
@@ -35,7 +36,7 @@
   metrics: Address | undefined;
   /** Time from the signal to stop until the process is killed, in milliseconds. */
   graceMs: number;
-  retries: { ratio: number; extra: number; windowMs: number };
+  retries: RetryLimits;
 }
 
 export interface GatewayDeps {
@@ -51,6 +52,8 @@
 
 export interface Gateway {
   readonly events: Emittery<GatewayEvents>;
+  /** Takes over settings that can change while it runs; says which can't. */
+  apply(next: GatewayOptions): void;
   /** Ends what is in flight within the grace time; resolves to whether all ran to their end. */
   stop(hurry?: AbortSignal): Promise<boolean>;
 }
@@ -59,10 +62,14 @@
 const connectTimeoutMs = 300;
 /** Idle time after which a kept connection to a target is not used again. */
 const keepAliveMs = 500;
-/** Time of a stop in which new requests are still taken: the balancer's two missed checks. */
-const stopNoticeMs = 3000;
+/** Least time of a stop: until the balancer has missed two of its checks, one a second. */
+const stopNoticeMs = 2200;
 /** Part of the grace time that is left for the process to end. */
 const stopMarginMs = 500;
+/** Share of the grace time in which a stream is still begun; most end within the rest. */
+const lastStreamShare = 0.5;
+/** Share of the grace time in which another call is still begun. */
+const lastCallShare = 0.85;
 
 export async function createGateway(cfg: GatewayOptions, deps: GatewayDeps): Promise<Gateway> {
   const {
@@ -74,6 +81,7 @@
   const exchanger = createExchanger({ connectTimeoutMs, keepAliveMs });
   const runs = new Set<RequestRun>();
   const retryWindows = new Map<string, RetryWindow>();
+  let options = cfg;
   let stoppingAt: number | undefined;
   /** Undefined until it listens. */
   let server: CallerServer | undefined;
@@ -152,7 +160,9 @@
   function retriesOf(service: string): RetryWindow {
     const known = retryWindows.get(service);
     if (known) return known;
-    const created = createRetryWindow({ ...cfg.retries, clock, entries: lease.entries });
+    const created = createRetryWindow({
+      clock, limits: () => options.retries, entries: lease.entries,
+    });
     retryWindows.set(service, created);
     return created;
   }
@@ -216,16 +226,21 @@
     });
   }
 
+  /** Whether a request can no longer be expected to end before this process does. */
+  function isTooLate({ kind, arrivedAt }: Pick<RequestSpec, 'kind' | 'arrivedAt'>): boolean {
+    const share = kind === 'stream' ? lastStreamShare : lastCallShare;
+    return stoppingAt !== undefined && arrivedAt - stoppingAt > share * options.graceMs;
+  }
+
   async function handle(req: IncomingMessage, res: ServerResponse) {
     const arrivedAt = clock.now();
-    const stoppedForMs = stoppingAt === undefined ? 0 : arrivedAt - stoppingAt;
     let caller: CallerRequest | undefined;
     if (stoppingAt !== undefined) res.shouldKeepAlive = false;
     try {
       caller = callers.read(req);
       if (!config.view) throw createRefusal('not_ready');
-      if (stoppedForMs > stopNoticeMs) throw createRefusal('stopping');
       const spec = specOf(config.view, caller, arrivedAt);
+      if (isTooLate(spec)) throw createRefusal('stopping');
       const body = await readBody(req, config.view.config.limits.maxBodyBytes);
       if (!res.destroyed) run({ ...spec, body }, res);
     } catch (err) {
@@ -257,6 +272,12 @@
 
   return {
     events,
+    apply(next) {
+      const fixed = { ...next, graceMs: options.graceMs, retries: options.retries };
+      const needsRestart = !isDeepStrictEqual(fixed, options);
+      options = { ...options, graceMs: next.graceMs, retries: next.retries };
+      log.info({ graceMs: next.graceMs, retries: next.retries, needsRestart }, 'settings read again');
+    },
     async stop(hurry) {
       stoppingAt = clock.now();
       log.info({ inFlight: runs.size }, 'stopping');
@@ -265,7 +286,7 @@
       const whole = await drain({
         clock,
         noticeMs: stopNoticeMs,
-        timeoutMs: cfg.graceMs - stopMarginMs,
+        timeoutMs: options.graceMs - stopMarginMs,
         hurry,
         idle: () => server?.active === 0,
       });
--- a/packages/gateway/src/http/sink.ts
+++ b/packages/gateway/src/http/sink.ts
@@ -7,15 +7,26 @@
 /** Bytes of an answer that its caller may leave unread. */
 const maxBacklogBytes = 1024 * 1024;
 
+/** Lets an answer end with its connection, without a length and without chunks. */
+function endWithConnection(res: ServerResponse): ServerResponse {
+  res.shouldKeepAlive = false;
+  res.useChunkedEncodingByDefault = false;
+  return res;
+}
+
 export function createAnswerSink(
   res: ServerResponse,
   callers: CallerProtocol,
   requestId: string,
 ): AnswerSink {
   return {
-    whole({ status, headers, body }) {
+    whole({
+      status, headers, body, isFramed,
+    }) {
       if (res.destroyed) return;
-      res.writeHead(status, { ...callers.answerHeaders(headers), 'content-length': body.length });
+      const passed = callers.answerHeaders(headers);
+      if (isFramed) res.writeHead(status, { ...passed, 'content-length': body.length });
+      else endWithConnection(res).writeHead(status, passed);
       res.end(body);
     },
     open: (status, headers) => openStream(res, {
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -72,8 +72,8 @@
     });
   }
 
-  function endWhole() {
-    const answer = { ...head!, body: Buffer.concat(chunks) };
+  function endWhole(isFramed: boolean) {
+    const answer = { ...head!, body: Buffer.concat(chunks), isFramed };
     if (answer.status >= serverErrors) fail('failed', `status ${answer.status}`, { answer });
     else {
       isOver = true;
@@ -81,9 +81,9 @@
     }
   }
 
-  function endEvents() {
-    if (splitter.pendingBytes > 0) {
-      fail('broken', 'the stream ended inside an event');
+  function endEvents(isFramed: boolean) {
+    if (splitter.pendingBytes > 0 || !isFramed) {
+      fail('broken', isFramed ? 'the stream ended inside an event' : 'the stream has no end of its own');
       return;
     }
     isOver = true;
@@ -111,10 +111,10 @@
       chunks.push(chunk);
       if (size > maxWholeBytes) fail('broken', `the answer is larger than ${maxWholeBytes} bytes`);
     },
-    end() {
+    end(isFramed) {
       if (isOver) return;
-      if (isEvents()) endEvents();
-      else endWhole();
+      if (isEvents()) endEvents(isFramed);
+      else endWhole(isFramed);
     },
     failed(err, sent) {
       if (!sent) fail('unsent', err.message);
--- a/packages/gateway/src/requests/spec.ts
+++ b/packages/gateway/src/requests/spec.ts
@@ -24,6 +24,8 @@
   status: number;
   headers: IncomingHttpHeaders;
   body: Buffer;
+  /** It had a length or an end of its own; if not, it must not get one on its way. */
+  isFramed: boolean;
 }
 
 /** An answer that is passed on as it arrives; text is in latin1. */
--- a/packages/wire/src/exchange.ts
+++ b/packages/wire/src/exchange.ts
@@ -19,8 +19,11 @@
 export interface ExchangeHandler {
   head(status: number, headers: IncomingHttpHeaders): void;
   data(chunk: Buffer): void;
-  /** The answer is complete. */
-  end(): void;
+  /**
+   * The answer is complete. One that isn't framed ended with its connection, so that only its peer
+   * knows whether it was whole.
+   */
+  end(isFramed: boolean): void;
   /** No complete answer came; `sent` tells whether any of the request may have left. */
   failed(err: Error, sent: boolean): void;
 }
@@ -172,7 +175,7 @@
         onResponseEnd() {
           if (!hasLength && connection.isReset) {
             fail(new TargetError(`${address} reset an answer that has no length`));
-          } else if (finish(hasLength)) handler.end();
+          } else if (finish(hasLength)) handler.end(hasLength);
         },
         onResponseError(_, err) {
           fail(err);
