--- a/packages/core/src/serving/chain-choice.ts
+++ b/packages/core/src/serving/chain-choice.ts
@@ -31,7 +31,7 @@
 /** Prompts that are thought to wait for the pipe before one more. */
 const pipeCrowding = 4;
 /** Cost of the first way into another zone in milliseconds a token; keeps chains inside one. */
-const crossingBaseMs = 1;
+const crossingBaseMs = 30;
 
 function toCandidate(query: ChainChoiceQuery, target: ServingTarget): StageCandidate[] {
   const { engine, size, fromLayer = 0 } = query;
--- a/packages/core/src/serving/retry-window.ts
+++ b/packages/core/src/serving/retry-window.ts
@@ -23,6 +23,8 @@
 export interface RetryWindow {
   /** A first request to the service. */
   deposit(): void;
+  /** Whether a repeat is left. */
+  has(): boolean;
   /** Takes one repeat; false when the window is spent. */
   withdraw(): boolean;
 }
@@ -41,19 +43,23 @@
   const firsts: number[] = [];
   const repeats: number[] = [];
 
+  function has(): boolean {
+    const { ratio, extra, windowMs } = limits();
+    const since = clock.now() - windowMs;
+    dropBefore(firsts, since);
+    dropBefore(repeats, since);
+    const share = extra / Math.max(1, options.entries());
+    return repeats.length + 1 <= usedShare * (share + ratio * firsts.length);
+  }
+
   return {
     deposit() {
       dropBefore(firsts, clock.now() - limits().windowMs);
       firsts.push(clock.now());
     },
+    has,
     withdraw() {
-      const { ratio, extra, windowMs } = limits();
-      const since = clock.now() - windowMs;
-      dropBefore(firsts, since);
-      dropBefore(repeats, since);
-      const share = extra / Math.max(1, options.entries());
-      const allowed = usedShare * (share + ratio * firsts.length);
-      if (repeats.length + 1 > allowed) return false;
+      if (!has()) return false;
       repeats.push(clock.now());
       return true;
     },
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -2,7 +2,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Logger } from 'pino';
 import {
-  afterAttempt, BaseError, createEventOrder, createRefusal, newLife, stepAfter,
+  afterAttempt, BaseError, createEventOrder, createRefusal, mayRepeat, newLife, stepAfter,
   type AttemptEnd, type CancelTimer, type Clock, type LifeStep, type RefusalCode,
   type RetryWindow, type StreamEvent,
 } from '@verbenashunt/core';
@@ -56,6 +56,9 @@
   let isOver = false;
   let isRerouting = false;
   let heardAt = spec.arrivedAt;
+  let firstMs: number | undefined;
+  let maxPauseMs = 0;
+  let deliveredAt = spec.arrivedAt;
 
   const timeLeftMs = () => spec.expiresAt - clock.now();
 
@@ -151,7 +154,11 @@
       });
       return;
     }
-    heardAt = clock.now();
+    const now = clock.now();
+    if (firstMs === undefined) firstMs = now - spec.arrivedAt;
+    else maxPauseMs = Math.max(maxPauseMs, now - deliveredAt);
+    heardAt = now;
+    deliveredAt = now;
     writer ??= sink.open(200, headers);
     life = { ...life, delivered: true };
     writer.write(next.bytes.toString('latin1'));
@@ -160,11 +167,41 @@
   function completed(headers: IncomingHttpHeaders) {
     choice!.parts.forEach(({ id }) => selector.health.succeeded(id));
     writer ??= sink.open(200, headers);
+    log.info({
+      req: spec.caller.id,
+      target: choice!.target.id,
+      stages: choice!.parts.length,
+      zones: new Set(choice!.parts.map(({ zone }) => zone)).size,
+      attempts: life.ran + life.missed + 1,
+      firstMs: Math.round(firstMs ?? 0),
+      maxPauseMs: Math.round(maxPauseMs),
+      totalMs: Math.round(clock.now() - spec.arrivedAt),
+      events: order.last,
+    }, 'stream completed');
     close('completed');
     writer.end('');
   }
 
-  /** Sends the rest of the stream round a target that it waits for, where a way is left. */
+  /** Gives up an attempt whose chain is broken. */
+  function abandon(reason: string, blamed: string | undefined) {
+    if (isOver || !attempt) return;
+    attempt.abort();
+    failed({
+      end: 'unknown', reason, blamed, answer: undefined,
+    });
+  }
+
+  /** Whether the stream could go on as a new attempt, on a chain of another zone. */
+  function canResume(): boolean {
+    if (!mayRepeat(spec) || life.ran + 1 >= spec.maxAttempts || timeLeftMs() < minTimeMs) return false;
+    const other = selector.choose(spec, avoid);
+    return other !== undefined && selector.isInZone(other) && deps.retries.has();
+  }
+
+  /**
+   * Sends the rest of the stream round a target that it waits for. All tokens so far have to pass
+   * to the new stage; where they would fill the pipe between zones, another chain reads them anew.
+   */
   async function reroute(address: string) {
     const culprit = selector.idAt(spec.service, address);
     if (culprit !== undefined) {
@@ -173,6 +210,10 @@
     }
     const from = choice!;
     const next = selector.reroute(spec, from, avoid);
+    if ((!next || !selector.isInZone(next)) && canResume()) {
+      abandon('a stage is dead and its zone has no other', address);
+      return;
+    }
     if (!next) return;
     const { status } = await exchangeOnce(
       deps.exchanger,
@@ -201,16 +242,6 @@
     });
   }
 
-  /** Gives up an attempt whose target is silent. */
-  function abandon(reason: string) {
-    if (isOver || !attempt) return;
-    attempt.abort();
-    selector.failed(choice!.target.id);
-    failed({
-      end: 'unknown', reason, blamed: undefined, answer: undefined,
-    });
-  }
-
   function watch() {
     if (spec.kind !== 'stream' || !spec.service.engine) return;
     const { objectiveMs, maxPauseMs } = spec.route;
@@ -221,7 +252,10 @@
       quietSince: () => heardAt,
       maxQuietMs: life.delivered ? quietShare * maxPauseMs : firstQuietShare * objectiveMs,
       stalledBy,
-      lost: () => abandon('the first target gave no report'),
+      lost() {
+        selector.failed(choice!.target.id);
+        abandon('the first target gave no report', undefined);
+      },
     });
   }
 
--- a/packages/gateway/src/routing/selector.ts
+++ b/packages/gateway/src/routing/selector.ts
@@ -115,6 +115,8 @@
     choose: (spec: RequestSpec, avoid: ReadonlySet<string>): Choice | undefined => (
       spec.service.engine ? chooseChainOf(spec, avoid) : chooseAlone(spec, avoid)),
     reroute,
+    /** Whether a chain of a choice stays inside the zone of its first target. */
+    isInZone: ({ target, parts }: Choice) => parts.every((part) => part.zone === target.zone),
     /** Counts an attempt in flight; returns the function that ends the count. */
     hold({ parts }: Choice, { size }: RequestSpec): () => void {
       const cost = size.promptTokens + size.answerTokens;
