--- a/packages/core/src/placement/zone-plan.ts
+++ b/packages/core/src/placement/zone-plan.ts
@@ -237,11 +237,32 @@
   return group.every(isHolder) ? spares(engine, group) : copies(engine, group);
 }
 
-/** A chain laid out anew, when what is held covers the model in no way and can't be added to. */
-function layAnew(engine: EngineModel, groups: readonly LayerHost[][]): PlacedRange[] {
-  const best = groups.filter((group) => canHold(engine, group))
-    .sort((a, b) => maxKvTokens(engine, b) - maxKvTokens(engine, a))[0];
-  return best ? layGroup(engine, best) : [];
+/** A chain of all hosts of a group in the order of what they hold, so that few layers move. */
+function layAnew(engine: EngineModel, group: readonly LayerHost[]): PlacedRange[] {
+  const holders = group.filter(isHolder).sort((a, b) => a.held.lo - b.held.lo);
+  const empty = group.filter((host) => !isHolder(host)).sort(byMemory);
+  const [hole] = holesIn(holders.map(({ held }) => held), engine.layers);
+  const before = holders.filter(({ held }) => held.lo < (hole?.lo ?? 0));
+  const order = [...before, ...empty, ...holders.slice(before.length)];
+  return order.length <= maxStages
+    ? layChain(engine, order, { lo: 0, hi: engine.layers }) ?? []
+    : layGroup(engine, group);
+}
+
+const isComplete = (engine: EngineModel, group: readonly LayerHost[]) => holesIn(
+  group.flatMap(({ held }) => held ?? []),
+  engine.layers,
+).length === 0;
+
+/**
+ * Groups to lay out anew, as holes are left in them that can't be filled. No stream begins on such a
+ * group while another is complete; where none is, one is mended and the others serve on meanwhile.
+ */
+function beyondRepair(engine: EngineModel, groups: readonly LayerHost[][]): LayerHost[][] {
+  const broken = groups.filter((group) => group.some(isHolder) && canHold(engine, group)
+    && !isComplete(engine, group) && planGroup(engine, group).length === 0);
+  if (groups.some((group) => isComplete(engine, group))) return broken;
+  return broken.sort((a, b) => maxKvTokens(engine, b) - maxKvTokens(engine, a)).slice(0, 1);
 }
 
 /**
@@ -251,8 +272,9 @@
 export function planLayers(engine: EngineModel, hosts: readonly LayerHost[]): PlacedRange[] {
   const groups = chainGroups(engine, hosts);
   const held = new Map(hosts.map((host) => [host.id, host.held]));
-  const planned = groups.flatMap((group) => planGroup(engine, group));
-  const isCovered = holesIn(hosts.flatMap((host) => host.held ?? []), engine.layers).length === 0;
-  const ranges = planned.length > 0 || isCovered ? planned : layAnew(engine, groups);
+  const ranges = [
+    ...groups.flatMap((group) => planGroup(engine, group)),
+    ...beyondRepair(engine, groups).flatMap((group) => layAnew(engine, group)),
+  ];
   return ranges.filter(({ id, lo, hi }) => held.get(id)?.lo !== lo || held.get(id)?.hi !== hi);
 }
