Let any entry mend holes while the store is out of reach

Change: when the store has not answered for longer than a lease lasts, an entry may add to the placement under the last token that it knows; targets refuse what comes after another's order or under a lower token, and nothing held is given up on that footing.

--- a/packages/core/src/placement/zone-plan.ts
+++ b/packages/core/src/placement/zone-plan.ts
@@ -265,16 +265,25 @@
   return broken.sort((a, b) => maxKvTokens(engine, b) - maxKvTokens(engine, a)).slice(0, 1);
 }
 
+export interface LayerPlanOptions {
+  /** Hosts may give layers up, where nothing else completes a chain. */
+  mayMove: boolean;
+}
+
 /**
  * Ranges that hosts are to hold and do not hold now, group by group. A host that isn't named keeps
  * what it holds. Filling several holes takes several calls, each with the orders before under way.
  */
-export function planLayers(engine: EngineModel, hosts: readonly LayerHost[]): PlacedRange[] {
+export function planLayers(
+  engine: EngineModel,
+  hosts: readonly LayerHost[],
+  { mayMove }: LayerPlanOptions = { mayMove: true },
+): PlacedRange[] {
   const groups = chainGroups(engine, hosts);
   const held = new Map(hosts.map((host) => [host.id, host.held]));
   const ranges = [
     ...groups.flatMap((group) => planGroup(engine, group)),
-    ...beyondRepair(engine, groups).flatMap((group) => layAnew(engine, group)),
+    ...(mayMove ? beyondRepair(engine, groups) : []).flatMap((group) => layAnew(engine, group)),
   ];
   return ranges.filter(({ id, lo, hi }) => held.get(id)?.lo !== lo || held.get(id)?.hi !== hi);
 }
--- a/packages/core/src/serving/health.ts
+++ b/packages/core/src/serving/health.ts
@@ -14,6 +14,8 @@
   succeeded(id: string): void;
   /** Whether other targets are to be preferred. */
   isSuspect(id: string): boolean;
+  /** Whether it has failed again after it was avoided, without a success since. */
+  isFailing(id: string): boolean;
   readonly suspects: readonly string[];
 }
 
@@ -55,6 +57,7 @@
       doubts.delete(id);
     },
     isSuspect,
+    isFailing: (id) => (suspicions.get(id)?.failures ?? 0) >= 2,
     get suspects() {
       return [...suspicions.keys()].filter(isSuspect);
     },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -108,7 +108,7 @@
     protocol: ports.targets,
     ownTokens: selector.ownTokens,
     engines: () => targets.all.filter(({ id, held, zone }) => held !== undefined
-      && (lease.token() !== undefined || zone === cfg.zone || selector.ownTokens(id) > 0)),
+      && (lease.right() !== undefined || zone === cfg.zone || selector.ownTokens(id) > 0)),
   });
 
   const stalls = createStallWatch({
@@ -155,6 +155,7 @@
     exchanger,
     protocol: ports.targets,
     isDead: load.isDead,
+    isFailing: selector.health.isFailing,
   });
 
   function retriesOf(service: string): RetryWindow {
--- a/packages/gateway/src/placement/controller.ts
+++ b/packages/gateway/src/placement/controller.ts
@@ -19,6 +19,8 @@
   protocol: TargetProtocol;
   /** The target has given no answer for long enough to plan without it. */
   isDead(id: string): boolean;
+  /** Requests keep failing at the target, as they do at one that leaves unannounced. */
+  isFailing(id: string): boolean;
 }
 
 export interface PlacementController {
@@ -65,7 +67,7 @@
   }
 
   async function order(target: ServingTarget, range: PlacedRange, engine: EngineModel) {
-    const token = lease.token();
+    const token = lease.right()?.token;
     if (token === undefined) return;
     const { busy, orders, held } = await report(target);
     if (sameRange(held, range)) {
@@ -113,7 +115,7 @@
 
   function hostsOf(service: string, engine: EngineModel): LayerHost[] {
     return targets.ofService(service)
-      .filter(({ draining, id }) => !draining && !deps.isDead(id))
+      .filter(({ draining, id }) => !draining && !deps.isDead(id) && !deps.isFailing(id))
       .flatMap((target) => toLayerHost(engine, target) ?? [])
       .map((host) => ({ ...host, held: queued.get(host.id) ?? pending.get(host.id) ?? host.held }));
   }
@@ -130,7 +132,9 @@
   function place(service: string, engine: EngineModel) {
     const hosts = hostsOf(service, engine);
     if (hosts.length === 0 || !settled(hosts)) return;
-    planLayers(engine, hosts).forEach((range) => queued.set(range.id, range));
+    const isDoubtful = lease.right()?.isOrphaned
+      || targets.ofService(service).some(({ id }) => deps.isFailing(id));
+    planLayers(engine, hosts, { mayMove: !isDoubtful }).forEach((range) => queued.set(range.id, range));
     [...queued.values()]
       .filter(({ id }) => targets.byId(id)?.service === service && !calling.has(id))
       .slice(0, Math.max(0, engine.loadsAtOnce - pending.size - calling.size))
@@ -143,7 +147,7 @@
     if (isClosed) return;
     cancel = clock.after(tickMs, tick);
     const { view } = config;
-    if (!view || lease.token() === undefined) {
+    if (!view || !lease.right()) {
       queued.clear();
       return;
     }
--- a/packages/gateway/src/store/lease-keeper.ts
+++ b/packages/gateway/src/store/lease-keeper.ts
@@ -4,7 +4,7 @@
  */
 import type { Logger } from 'pino';
 import {
-  BaseError, ConflictError, errorCode, leaseRenewMs, nextLease, validLease, type Clock,
+  BaseError, ConflictError, errorCode, leaseRenewMs, leaseTtlMs, nextLease, validLease, type Clock,
   type LeaseRecord,
 } from '@verbenashunt/core';
 import type { RowStore, StoredRow } from '../ports.js';
@@ -27,9 +27,21 @@
   node: string;
 }
 
+/** Right to give orders to engines. */
+export interface OrderRight {
+  /** Fencing token for the orders. */
+  token: number;
+  /**
+   * The store has been out of reach for longer than a lease lasts, so that nobody can be known to
+   * hold it. Then any entry may add to the placement, under the last token that it knows: a target
+   * refuses what comes after another's order or under a lower token.
+   */
+  isOrphaned: boolean;
+}
+
 export interface LeaseKeeper {
-  /** Fencing token while this entry may give orders. */
-  token(): number | undefined;
+  /** Undefined while this entry may give no orders. */
+  right(): OrderRight | undefined;
   /** Entries that are known, this one included. */
   entries(): number;
   /** A target refused an order, since another entry has given one with a higher token. */
@@ -54,6 +66,9 @@
   let entryCount = 1;
   let isRegistered = false;
   let highestFenced = 0;
+  /** Newest token read or written. */
+  let seenToken = 0;
+  let heardAt = clock.now();
   let isClosed = false;
   let cancel = () => {};
 
@@ -62,6 +77,11 @@
     held = undefined;
   }
 
+  function heard(token: number) {
+    heardAt = clock.now();
+    seenToken = Math.max(seenToken, token);
+  }
+
   async function register() {
     if (isRegistered) return;
     const key = `${entryPrefix}${node}`;
@@ -77,6 +97,7 @@
     });
     if (held?.token !== record.token) log.info({ token: record.token }, 'lease taken');
     held = record;
+    heard(record.token);
     version = written.version;
     clockOffset = written.now - clock.now();
     return leaseRenewMs;
@@ -89,6 +110,7 @@
     entryCount = Math.max(1, state.rows.filter(({ key }) => key.startsWith(entryPrefix)).length);
     version = row?.version ?? 0;
     const current = decodeLease(row);
+    heard(current?.token ?? 0);
     if (held && current?.token !== held.token) lose('another entry holds it');
     const next = nextLease(current, node, state.now, held?.token);
     if (next) return write(next);
@@ -121,7 +143,11 @@
   run();
 
   return {
-    token: () => (held && held.token > highestFenced ? held.token : undefined),
+    right() {
+      const isOrphaned = clock.now() - heardAt > leaseTtlMs;
+      const token = isOrphaned ? seenToken : held?.token ?? 0;
+      return token > highestFenced ? { token, isOrphaned } : undefined;
+    },
     entries: () => entryCount,
     fenced(token) {
       highestFenced = Math.max(highestFenced, token);
