Tell targets that leave from full ones, and take layers from reports

A refusal by a target with KV memory to spare counts as a failure of the target at once; layers that a report shows are taken over where the row has not changed for a second (after orders in an outage of the store, 112 attempts had ended with 421).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,7 +5,7 @@
 import type { Logger } from 'pino';
 import {
   BaseError, createRefusal, createRetryWindow, createServingConfigHolder, createTargetTable,
-  errorCode, pickService, RefusalError, SystemClock,
+  errorCode, pickService, RefusalError, sameRange, SystemClock,
   type Clock, type RetryLimits, type RetryWindow, type ServingRoute, type ServingService, type ServingTarget,
   type ServingView,
 } from '@verbenashunt/core';
@@ -66,6 +66,8 @@
 const stopNoticeMs = 2200;
 /** Part of the grace time that is left for the process to end. */
 const stopMarginMs = 500;
+/** Time by which a target's report may lag behind its row, with room for the way. */
+const reportLagMs = 1000;
 /** Share of the grace time in which a stream is still begun; most end within the rest. */
 const lastStreamShare = 0.5;
 /** Share of the grace time in which another call is still begun. */
@@ -101,12 +103,23 @@
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- each refers to the other
     clock, random, zone: cfg.zone, targets, entries: lease.entries, load: () => load,
   });
+  /** When the row of a target last changed. */
+  const rowChangedAt = new Map<string, number>();
   const load = createLoadMonitor({
     clock,
     log,
     exchanger,
     protocol: ports.targets,
     ownTokens: selector.ownTokens,
+    onHeld(target, held) {
+      // What a target says lags behind; a row that has just changed is newer.
+      const changedAt = rowChangedAt.get(target.id) ?? -Infinity;
+      const known = targets.byId(target.id);
+      if (!known || known.address !== target.address || sameRange(known.held, held)) return;
+      if (clock.now() - changedAt < reportLagMs) return;
+      log.info({ target: target.id, held, was: known.held }, 'target holds other layers than listed');
+      targets.apply({ id: target.id, target: { ...known, held } });
+    },
     engines: () => targets.all.filter(({ id, held, zone }) => held !== undefined
       && (lease.right() !== undefined || zone === cfg.zone || selector.ownTokens(id) > 0)),
   });
@@ -141,6 +154,8 @@
         log.info({
           target: row.key, draining: target?.draining, held: target?.held, gone: !target,
         }, 'target changed');
+        if (target) rowChangedAt.set(row.key, clock.now());
+        else rowChangedAt.delete(row.key);
         targets.apply(target ? { id: row.key, target } : { id: row.key, target: undefined });
       }),
     }, followDeps),
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -128,7 +128,7 @@
     if (culprit !== undefined) {
       avoid.add(culprit);
       if (end === 'unsent') selector.failed(culprit);
-      else selector.health.doubted(culprit);
+      else selector.doubted(culprit, blamed !== undefined);
     }
     life = afterAttempt(life, end);
     const isWanted = stepAfter(spec, life, end, true).do === 'try';
--- a/packages/gateway/src/routing/load-monitor.ts
+++ b/packages/gateway/src/routing/load-monitor.ts
@@ -5,7 +5,7 @@
  */
 import type { Logger } from 'pino';
 import {
-  BaseError, correctedActive, errorCode, type Clock, type ServingTarget,
+  BaseError, correctedActive, errorCode, type Clock, type HeldRange, type ServingTarget,
 } from '@verbenashunt/core';
 import { exchangeOnce, type Exchanger } from '@verbenashunt/wire';
 import type { TargetProtocol } from '../ports.js';
@@ -19,6 +19,8 @@
   engines(): readonly ServingTarget[];
   /** Tokens of this entry's requests at a target. */
   ownTokens(id: string): number;
+  /** A target said which layers it holds. */
+  onHeld(target: ServingTarget, held: HeldRange | undefined): void;
 }
 
 export interface LoadMonitor {
@@ -26,6 +28,8 @@
   tokensAt(id: string): number;
   /** Factor on a target's time; 1 when healthy or not known. */
   slowdownOf(id: string): number;
+  /** Whether a refusal of the target may be for want of KV memory. */
+  isFull(id: string): boolean;
   /** The target gave no report several times in a row. */
   isDead(id: string): boolean;
   /** Asks a target soon, since a request found it failing. */
@@ -41,6 +45,8 @@
 const answerTimeoutMs = 400;
 /** Questions in a row without an answer after which a target is taken for dead. */
 const maxMisses = 3;
+/** Share of KV memory in use from which on a target may refuse a request for want of it. */
+const fullShare = 0.6;
 /** Time between looks at what is due in milliseconds. */
 const tickMs = 100;
 
@@ -49,6 +55,8 @@
   isAsking: boolean;
   misses: number;
   slowdown: number;
+  /** Share of the KV memory in use at the last report. */
+  fullness: number;
   /** Tokens of all requests at the last report; undefined before the first. */
   reported: number | undefined;
   /** Tokens of this entry's requests at that time. */
@@ -67,7 +75,7 @@
     const found = known.get(id);
     if (found) return found;
     const created: Known = {
-      dueAt: 0, isAsking: false, misses: 0, slowdown: 1, reported: undefined, ownAtReport: 0,
+      dueAt: 0, isAsking: false, misses: 0, slowdown: 1, fullness: 0, reported: undefined, ownAtReport: 0,
     };
     known.set(id, created);
     return created;
@@ -81,13 +89,17 @@
       protocol.reportRequest(target),
       answerTimeoutMs,
     );
-    const { slowdown, kvUsed, held } = protocol.decodeReport(status, body);
+    const {
+      slowdown, kvUsed, kvTotal, held,
+    } = protocol.decodeReport(status, body);
+    deps.onHeld(target, held);
     if (slowdown !== state.slowdown) log.info({ target: target.id, slowdown }, 'target changed its pace');
     if (state.misses >= maxMisses) log.info({ target: target.id }, 'target answers again');
     Object.assign(state, {
       misses: 0,
       slowdown,
       ownAtReport,
+      fullness: kvTotal > 0 ? kvUsed / kvTotal : 0,
       reported: held ? kvUsed / (held.hi - held.lo) : 0,
       dueAt: clock.now() + periodMs,
     });
@@ -128,6 +140,7 @@
         : correctedActive(state.reported, state.ownAtReport, own);
     },
     slowdownOf: (id) => Math.max(1, known.get(id)?.slowdown ?? 1),
+    isFull: (id) => (known.get(id)?.fullness ?? 0) >= fullShare,
     isDead: (id) => (known.get(id)?.misses ?? 0) >= maxMisses,
     check(id) {
       const state = known.get(id);
