--- a/packages/core/src/placement/zone-plan.ts
+++ b/packages/core/src/placement/zone-plan.ts
@@ -20,7 +20,7 @@
  * Share of the KV tokens of the evenest layout that a host keeps when it takes on a neighbour's
  * layers; requests that pass through its own layers alone have more.
  */
-const keptShare = 0.35;
+const keptShare = 0.3;
 
 const byMemory = (a: LayerHost, b: LayerHost) => b.memoryMb - a.memoryMb
   || a.stepFactor - b.stepFactor
--- a/packages/core/src/serving/health.ts
+++ b/packages/core/src/serving/health.ts
@@ -2,9 +2,7 @@
  * Targets that requests found dead or failing. A target is avoided for a short time after a failure
  * that tells of the whole target, longer with each one in a row; a success ends that.
  */
-export interface TargetHealthOptions {
-  now(): number;
-}
+import type { Clock } from '../clock/clock.js';
 
 export interface TargetHealth {
   /** The target is dead or can't be reached. */
@@ -32,17 +30,17 @@
 /** Doubts in a row that count as a failure. */
 const maxDoubts = 4;
 
-export function createTargetHealth({ now }: TargetHealthOptions): TargetHealth {
+export function createTargetHealth(clock: Clock): TargetHealth {
   const suspicions = new Map<string, Suspicion>();
   const doubts = new Map<string, number>();
 
-  const isSuspect = (id: string) => (suspicions.get(id)?.until ?? 0) > now();
+  const isSuspect = (id: string) => (suspicions.get(id)?.until ?? 0) > clock.now();
 
   function failed(id: string) {
     if (isSuspect(id)) return;
     const failures = (suspicions.get(id)?.failures ?? 0) + 1;
     const avoidMs = Math.min(maxAvoidMs, firstAvoidMs * 2 ** (failures - 1));
-    suspicions.set(id, { failures, until: now() + avoidMs });
+    suspicions.set(id, { failures, until: clock.now() + avoidMs });
   }
 
   return {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -52,6 +52,8 @@
 
 export interface Gateway {
   readonly events: Emittery<GatewayEvents>;
+  /** Ports that it listens on, for callers and for the balancer's check. */
+  readonly ports: { front: number; readiness: number };
   /** Takes over settings that can change while it runs; says which can't. */
   apply(next: GatewayOptions): void;
   /** Ends what is in flight within the grace time; resolves to whether all ran to their end. */
@@ -288,6 +290,7 @@
 
   return {
     events,
+    ports: { front: server.port, readiness: probes[0]!.port },
     apply(next) {
       const fixed = { ...next, graceMs: options.graceMs, retries: options.retries };
       const needsRestart = !isDeepStrictEqual(fixed, options);
--- a/packages/gateway/src/http/server.ts
+++ b/packages/gateway/src/http/server.ts
@@ -1,5 +1,6 @@
 /** The HTTP services of the gateway: callers, readiness and metrics, each on its own address. */
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import restana from 'restana';
 import type { CallerLimits } from '@verbenashunt/core';
 import { createHttpListener } from '@verbenashunt/wire';
@@ -19,6 +20,7 @@
 const maxConnections = 3000;
 
 export interface CallerServer {
+  readonly port: number;
   /** Answers that have not wholly left. */
   readonly active: number;
   apply(limits: CallerLimits): void;
@@ -39,6 +41,7 @@
   const app = restana({ server, defaultRoute: handler, prioRequestsProcessing: false });
   await app.start(port, host);
   const callerServer: CallerServer = {
+    port: (server.address() as AddressInfo).port,
     get active() {
       return listener.active;
     },
@@ -71,8 +74,9 @@
     res.setHeader('cache-control', 'no-store');
     res.end(body);
   });
-  const server = await app.start(port, host);
+  const server = await app.start(port, host) as Server;
   return {
+    port: (server.address() as AddressInfo).port,
     close() {
       server.close();
       server.closeAllConnections();
--- /dev/null
+++ b/test/serving/events.test.ts
@@ -0,0 +1,41 @@
+/** Events of a stream, cut at any byte, and the order of their ids. */
+import fc from 'fast-check';
+import { expect, test } from 'vitest';
+import { createEventOrder, createEventSplitter } from '@verbenashunt/core';
+
+const text = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: comment\n\nid: 3\ndata: \u00e9\n\n';
+const bytes = Buffer.from(text);
+
+function split(cuts: number[]) {
+  const splitter = createEventSplitter();
+  const edges = [0, ...[...cuts].sort((a, b) => a - b), bytes.length];
+  const events = edges.slice(1).flatMap((to, i) => splitter.push(bytes.subarray(edges[i], to)));
+  return { events, pending: splitter.pendingBytes };
+}
+
+test('whole events whatever the cuts, byte for byte', () => {
+  fc.assert(fc.property(fc.array(fc.nat(bytes.length)), (cuts) => {
+    const { events, pending } = split(cuts);
+    expect(Buffer.concat(events.map((event) => event.bytes)).equals(bytes)).toBe(true);
+    expect(events.map(({ id }) => id)).toEqual([1, 2, undefined, 3]);
+    expect(pending).toBe(0);
+  }));
+});
+
+test('what is no whole event stays back', () => {
+  const splitter = createEventSplitter();
+  expect(splitter.push(Buffer.from('id: 1\ndata: a\n'))).toEqual([]);
+  expect(splitter.pendingBytes).toBe(14);
+});
+
+test('repeated events and gaps', () => {
+  const order = createEventOrder(undefined);
+  const verdicts = [4, 5, 5, 4, 6, 8, 7].map((id) => order.accept({ bytes, id }));
+  expect(verdicts).toEqual(['deliver', 'deliver', 'repeated', 'repeated', 'deliver', 'gap', 'deliver']);
+  expect(order.last).toBe(7);
+});
+
+test('a resumed stream begins after the event that the caller has', () => {
+  const order = createEventOrder(3);
+  expect([3, 5, 4].map((id) => order.accept({ bytes, id }))).toEqual(['repeated', 'gap', 'deliver']);
+});
--- /dev/null
+++ b/test/serving/health.test.ts
@@ -0,0 +1,46 @@
+/** Targets that requests found failing, and when they are used again. */
+import { expect, test } from 'vitest';
+import { createTargetHealth, ManualClock } from '@verbenashunt/core';
+
+function begin() {
+  const clock = new ManualClock();
+  return { clock, health: createTargetHealth(clock) };
+}
+
+test('avoided after a failure, and tried again', () => {
+  const { clock, health } = begin();
+  health.failed('a');
+  expect([health.isSuspect('a'), health.isSuspect('b')]).toEqual([true, false]);
+  clock.advance(501);
+  expect(health.isSuspect('a')).toBe(false);
+});
+
+test('avoided longer each time, until a success', () => {
+  const { clock, health } = begin();
+  health.failed('a');
+  clock.advance(501);
+  health.failed('a');
+  clock.advance(501);
+  expect([health.isSuspect('a'), health.isFailing('a')]).toEqual([true, true]);
+  health.succeeded('a');
+  expect([health.isSuspect('a'), health.isFailing('a')]).toEqual([false, false]);
+});
+
+test('one request that fails says little, several in a row do', () => {
+  const { health } = begin();
+  const seen = Array.from({ length: 4 }, () => {
+    health.doubted('a');
+    return health.isSuspect('a');
+  });
+  expect(seen).toEqual([false, false, false, true]);
+});
+
+test('a success between failures of requests clears the doubt', () => {
+  const { health } = begin();
+  Array.from({ length: 10 }).forEach(() => {
+    health.doubted('a');
+    health.doubted('a');
+    health.succeeded('a');
+  });
+  expect(health.isSuspect('a')).toBe(false);
+});
--- /dev/null
+++ b/test/support/gateway-world.ts
@@ -0,0 +1,135 @@
+/** A gateway in the test's own process, before stand-ins of the users' platform. */
+import { request as httpRequest, type IncomingHttpHeaders } from 'node:http';
+import { pino } from 'pino';
+import { vi } from 'vitest';
+import { createGateway, type Gateway } from '@verbenashunt/gateway';
+import { createPlatformPorts } from '@verbenashunt/platform';
+import {
+  operatorConfig, startStore, startTarget,
+  type StoreStandIn, type TargetOptions, type TargetStandIn,
+} from '@verbenashunt/platform/stand-in';
+
+const host = '127.0.0.1';
+
+export interface CallerAnswer {
+  status: number;
+  headers: IncomingHttpHeaders;
+  body: string;
+  /** The answer ended as its framing says. */
+  isComplete: boolean;
+}
+
+export interface CallOptions {
+  method?: string;
+  path?: string;
+  headers?: Record<string, string>;
+  body?: string;
+  /** Leaves after this time in milliseconds. */
+  leaveAfterMs?: number;
+}
+
+let sequence = 0;
+
+/** Sends one request; resolves however it ends. */
+export function callGateway(port: number, options: CallOptions = {}): Promise<CallerAnswer> {
+  sequence += 1;
+  return new Promise((resolve) => {
+    let body = '';
+    const req = httpRequest({
+      host,
+      port,
+      method: options.method ?? 'GET',
+      path: options.path ?? '/read/a',
+      agent: false,
+      headers: {
+        host: 'app.example',
+        'request-id': `req-${sequence}`,
+        'request-deadline-ms': '1500',
+        authorization: 'Bearer key-1',
+        ...options.headers,
+      },
+    }, (res) => {
+      const done = () => resolve({
+        status: res.statusCode!, headers: res.headers, body, isComplete: res.complete,
+      });
+      res.setEncoding('utf8').on('data', (text: string) => {
+        body += text;
+      });
+      res.on('error', done).on('close', done);
+    });
+    req.on('error', () => resolve({
+      status: 0, headers: {}, body, isComplete: false,
+    }));
+    if (options.leaveAfterMs !== undefined) setTimeout(() => req.destroy(), options.leaveAfterMs);
+    req.end(options.body);
+  });
+}
+
+export const streamHeaders = { model: 'model', 'token-usage': '50,20' };
+
+export interface GatewayWorld {
+  store: StoreStandIn;
+  gateway: Gateway;
+  apps: TargetStandIn[];
+  pool: TargetStandIn[];
+  call(options?: CallOptions): Promise<CallerAnswer>;
+  stream(options?: CallOptions): Promise<CallerAnswer>;
+  close(): Promise<void>;
+}
+
+export interface WorldOptions {
+  apps?: number;
+  /** Layers that the engines hold at the start, one engine each. */
+  pool?: [number, number][];
+  engine?: Partial<TargetOptions>;
+  config?: object;
+}
+
+export async function startGateway(store: StoreStandIn, node = 'entry-1') {
+  return createGateway({
+    node,
+    zone: 'zone-a',
+    front: { host, port: 0 },
+    readiness: { host, port: 0, path: '/api/readiness' },
+    metrics: undefined,
+    graceMs: 3000,
+    retries: { ratio: 0.2, extra: 200, windowMs: 10_000 },
+  }, { log: pino({ level: 'silent' }), ports: createPlatformPorts(store.address) });
+}
+
+/** Starts store, targets and a gateway that knows them all. */
+export async function startWorld(options: WorldOptions = {}): Promise<GatewayWorld> {
+  const store = await startStore();
+  store.put('op', 'config', operatorConfig(1, options.config));
+  const apps = await Promise.all(Array.from(
+    { length: options.apps ?? 2 },
+    (_, i) => startTarget({ id: `app-${i}` }),
+  ));
+  const pool = await Promise.all((options.pool ?? []).map(async ([from, to], i) => {
+    const target = await startTarget({ id: `engine-${i}`, kind: 'card', ...options.engine });
+    return Object.assign(target, { held: { from, to, version: 1 } });
+  }));
+  apps.forEach((app) => store.put('servers', app.id, app.row('app')));
+  pool.forEach((engine) => store.put('servers', engine.id, engine.row('pool')));
+  const gateway = await startGateway(store);
+  const call = (more?: CallOptions) => callGateway(gateway.ports.front, more);
+  await vi.waitFor(async () => {
+    const { status } = await call({ path: '/open/warm' });
+    if (status !== 200) throw new Error(`not warm: ${status}`);
+  }, { timeout: 10_000 });
+  apps.forEach((app) => Object.assign(app, { ran: [], arrivals: 0 }));
+  return {
+    store,
+    gateway,
+    apps,
+    pool,
+    call,
+    stream: (more = {}) => call({
+      method: 'POST', path: '/chat/x', body: 'prompt', ...more, headers: { ...streamHeaders, ...more.headers },
+    }),
+    async close() {
+      await gateway.stop(AbortSignal.abort());
+      await Promise.all([store, ...apps, ...pool].map((standIn) => standIn.close()));
+    },
+  };
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -4,6 +4,9 @@
 export default defineConfig({
   resolve: {
     alias: [{
+      find: '@verbenashunt/platform/stand-in',
+      replacement: fileURLToPath(new URL('./platform/stand-in/index.ts', import.meta.url)),
+    }, {
       find: '@verbenashunt/platform',
       replacement: fileURLToPath(new URL('./platform/src/index.ts', import.meta.url)),
     }, {
