Move streams away from targets that leave

Change: 0.6 to 1.5 s after the notice a stream is sent round the target inside its zone, or read anew by a chain of another zone. Changes of a table that come together cost one call.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -227,6 +227,7 @@
     const sink = createAnswerSink(res, callers, spec.caller.id);
     const started = startRun(spec, sink, {
       clock,
+      random,
       log,
       selector,
       stalls,
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -18,6 +18,7 @@
 
 export interface RunDeps extends AttemptDeps {
   clock: Clock;
+  random: () => number;
   log: Logger;
   selector: Selector;
   stalls: StallWatch;
@@ -34,6 +35,10 @@
 /** Wait that a caller is told when targets are busy, in milliseconds. */
 const busyRetryMs = 1000;
 
+/** Time from the notice that a target leaves until streams are moved away from it, at the least. */
+const moveAfterMs = 600;
+/** Time over which streams are moved away, so that not all are read anew at once. */
+const moveSpreadMs = 900;
 /** Time for a target to answer the order to send a request over another chain. */
 const repathTimeoutMs = 500;
 /** Silence between events, as a share of the longest pause that is on time, that is looked into. */
@@ -55,6 +60,8 @@
   let cancelWatch = () => {};
   let isOver = false;
   let isRerouting = false;
+  /** When this stream is to be moved away from a target that leaves. */
+  let moveAt: number | undefined;
   let heardAt = spec.arrivedAt;
   let firstMs: number | undefined;
   let maxPauseMs = 0;
@@ -162,6 +169,7 @@
     writer ??= sink.open(200, headers);
     life = { ...life, delivered: true };
     writer.write(next.bytes.toString('latin1'));
+    moveIfLeaving();
   }
 
   function completed(headers: IncomingHttpHeaders) {
@@ -199,19 +207,15 @@
   }
 
   /**
-   * Sends the rest of the stream round a target that it waits for. All tokens so far have to pass
-   * to the new stage; where they would fill the pipe between zones, another chain reads them anew.
+   * Sends the rest of the stream round a target. All tokens so far have to pass to the new stage;
+   * where they would fill the pipe between zones, another chain reads them anew.
    */
-  async function reroute(address: string) {
-    const culprit = selector.idAt(spec.service, address);
-    if (culprit !== undefined) {
-      avoid.add(culprit);
-      selector.failed(culprit);
-    }
+  async function reroute(culprit: string | undefined, address: string, reason: string) {
+    if (culprit !== undefined) avoid.add(culprit);
     const from = choice!;
-    const next = selector.reroute(spec, from, avoid);
+    const next = culprit === from.target.id ? undefined : selector.reroute(spec, from, avoid);
     if ((!next || !selector.isInZone(next)) && canResume()) {
-      abandon('a stage is dead and its zone has no other', address);
+      abandon(`${reason} and its zone has no other`, address);
       return;
     }
     if (!next) return;
@@ -223,7 +227,7 @@
     );
     const result = deps.protocol.orderResult(status);
     log.info({
-      req: spec.caller.id, culprit, status, result, last: order.last,
+      req: spec.caller.id, culprit, reason, status, result, last: order.last,
     }, 'stream rerouted');
     if (isOver || choice !== from || (result !== 'begun' && result !== 'done')) return;
     choice = next;
@@ -232,16 +236,36 @@
     heardAt = clock.now();
   }
 
-  function stalledBy(address: string) {
+  function startReroute(culprit: string | undefined, address: string, reason: string) {
     if (isRerouting) return;
     isRerouting = true;
-    reroute(address).catch((err) => {
+    reroute(culprit, address, reason).catch((err) => {
       log.info({ req: spec.caller.id, err: BaseError.normalize(err).message }, 'stream not rerouted');
     }).finally(() => {
       isRerouting = false;
     });
   }
 
+  function stalledBy(address: string) {
+    const culprit = selector.idAt(spec.service, address);
+    if (culprit !== undefined) selector.failed(culprit);
+    startReroute(culprit, address, 'a stage is dead');
+  }
+
+  /** Moves the stream away from a target that will be gone before long. */
+  function moveIfLeaving() {
+    const leaving = choice!.chain && selector.leaving(choice!);
+    if (!leaving) {
+      moveAt = undefined;
+      return;
+    }
+    const now = clock.now();
+    moveAt ??= now + moveAfterMs + deps.random() * moveSpreadMs;
+    if (now < moveAt) return;
+    moveAt = Infinity;
+    startReroute(leaving.id, leaving.address, 'a stage is leaving');
+  }
+
   function watch() {
     if (spec.kind !== 'stream' || !spec.service.engine) return;
     const { objectiveMs, maxPauseMs } = spec.route;
--- a/packages/gateway/src/routing/selector.ts
+++ b/packages/gateway/src/routing/selector.ts
@@ -115,6 +115,9 @@
     choose: (spec: RequestSpec, avoid: ReadonlySet<string>): Choice | undefined => (
       spec.service.engine ? chooseChainOf(spec, avoid) : chooseAlone(spec, avoid)),
     reroute,
+    /** A target of a choice that leaves or is no longer listed; undefined when all stay. */
+    leaving: ({ parts }: Choice) => parts
+      .find(({ id }) => targets.byId(id)?.draining ?? true),
     /** Whether a chain of a choice stays inside the zone of its first target. */
     isInZone: ({ target, parts }: Choice) => parts.every((part) => part.zone === target.zone),
     /** Counts an attempt in flight; returns the function that ends the count. */
--- a/packages/gateway/src/store/follow.ts
+++ b/packages/gateway/src/store/follow.ts
@@ -10,6 +10,8 @@
 
 /** Time for which the store holds a call open; a silent connection is noticed soon after. */
 const waitMs = 1500;
+/** Pause after changes, so that those that come together cost one call, in milliseconds. */
+const gatherMs = 120;
 /** Pauses after failures in a row, in milliseconds; the last one holds on. */
 const backoffMs = [100, 250, 500, 700] as const;
 
@@ -65,7 +67,9 @@
   async function readChanges(after: number) {
     const state = await store.changes(table, after, waitMs);
     heard(state);
-    if (state.rows.length > 0) followed.onChanges(state.rows);
+    if (state.rows.length === 0) return;
+    followed.onChanges(state.rows);
+    await wait(gatherMs);
   }
 
   function failed(err: Error) {
@@ -74,11 +78,14 @@
     if (err instanceof HistoryLostError) version = undefined;
   }
 
-  const pause = () => new Promise<void>((resolve) => {
-    const ms = backoffMs[Math.min(failures, backoffMs.length) - 1] ?? 0;
-    clock.after(ms * (0.75 + random() / 2), resolve);
+  const wait = (ms: number) => new Promise<void>((resolve) => {
+    clock.after(ms, resolve);
   });
 
+  const pause = () => wait(
+    (backoffMs[Math.min(failures, backoffMs.length) - 1] ?? 0) * (0.75 + random() / 2),
+  );
+
   async function step() {
     try {
       await (version === undefined ? readAll() : readChanges(version));
