--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,7 +3,7 @@
 export default [
   {
     ignores: [
-      '**/dist/**', 'target/**', '**/generated/**', 'node_modules/**', 'coverage/**', 'bench/out/**',
+      '**/dist/**', 'target/**', '**/*.d.mts', '**/generated/**', 'node_modules/**', 'coverage/**', 'bench/out/**',
       'vitest.config.ts',
     ],
   },
--- a/packages/core/src/placement/zone-plan.ts
+++ b/packages/core/src/placement/zone-plan.ts
@@ -255,8 +255,8 @@
 ).length === 0;
 
 /**
- * Groups to lay out anew, as holes are left in them that can't be filled. No stream begins on such a
- * group while another is complete; where none is, one is mended and the others serve on meanwhile.
+ * Groups to lay out anew, as holes are left in them that can't be filled. No stream begins on such
+ * a group while another is complete; where none is, one is mended and the others serve on.
  */
 function beyondRepair(engine: EngineModel, groups: readonly LayerHost[][]): LayerHost[][] {
   const broken = groups.filter((group) => group.some(isHolder) && canHold(engine, group)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,9 +5,8 @@
 import type { Logger } from 'pino';
 import {
   BaseError, createRefusal, createRetryWindow, createServingConfigHolder, createTargetTable,
-  errorCode, pickService, RefusalError, sameRange, SystemClock,
-  type Clock, type RetryLimits, type RetryWindow, type ServingRoute, type ServingService, type ServingTarget,
-  type ServingView,
+  errorCode, RefusalError, sameRange, SystemClock,
+  type Clock, type RetryLimits, type RetryWindow, type ServingTarget,
 } from '@verbenashunt/core';
 import { createExchanger, drain } from '@verbenashunt/wire';
 import { readBody } from './http/body.js';
@@ -19,6 +18,7 @@
 import { createPlacementController } from './placement/controller.js';
 import type { CallerRequest, PlatformPorts, StoredRow } from './ports.js';
 import { startRun } from './requests/run.js';
+import { specOf } from './requests/spec-of.js';
 import type { RequestRun, RequestSpec } from './requests/spec.js';
 import { createStallWatch } from './requests/stall-watch.js';
 import { createLoadMonitor } from './routing/load-monitor.js';
@@ -67,7 +67,7 @@
 /** Least time of a stop: until the balancer has missed two of its checks, one a second. */
 const stopNoticeMs = 2200;
 /** Part of the grace time that is left for the process to end. */
-const stopMarginMs = 500;
+const stopMarginMs = 900;
 /** Time by which a target's report may lag behind its row, with room for the way. */
 const reportLagMs = 1000;
 /** Share of the grace time in which a stream is still begun; most end within the rest. */
@@ -185,44 +185,6 @@
     return created;
   }
 
-  function organisationOf(view: ServingView, route: ServingRoute, caller: CallerRequest) {
-    if (view.config.organisations === undefined || route.isPublic) return undefined;
-    const org = caller.key === undefined ? undefined : view.organisationOf(caller.key);
-    if (!org) throw createRefusal('unauthorized');
-    return org.name;
-  }
-
-  function specOf(
-    view: ServingView,
-    caller: CallerRequest,
-    arrivedAt: number,
-  ): Omit<RequestSpec, 'body'> {
-    const route = view.routeOf(caller.host, caller.target);
-    if (!route) throw createRefusal('not_found');
-    const organisation = organisationOf(view, route, caller);
-    const name = pickService(route, random());
-    const service: ServingService | undefined = name === undefined
-      ? undefined
-      : view.serviceOf(name);
-    if (!service) throw createRefusal('no_target', { detail: route.name });
-    const { prompt = 0, answer = 1 } = service.engine?.usual ?? {};
-    return {
-      caller,
-      route,
-      service,
-      organisation,
-      kind: route.kind,
-      resumable: route.resumable,
-      maxAttempts: route.maxAttempts,
-      size: {
-        promptTokens: caller.promptTokens || prompt,
-        answerTokens: Math.max(1, Math.min(answer, caller.maxAnswerTokens ?? answer)),
-      },
-      arrivedAt,
-      expiresAt: arrivedAt + Math.min(caller.deadlineMs ?? route.timeoutMs, route.timeoutMs),
-    };
-  }
-
   function run(spec: RequestSpec, res: ServerResponse) {
     const sink = createAnswerSink(res, callers, spec.caller.id);
     const started = startRun(spec, sink, {
@@ -258,7 +220,7 @@
     try {
       caller = callers.read(req);
       if (!config.view) throw createRefusal('not_ready');
-      const spec = specOf(config.view, caller, arrivedAt);
+      const spec = specOf(config.view, caller, arrivedAt, random());
       if (isTooLate(spec)) throw createRefusal('stopping');
       const body = await readBody(req, config.view.config.limits.maxBodyBytes);
       if (!res.destroyed) run({ ...spec, body }, res);
--- a/packages/gateway/src/http/server.ts
+++ b/packages/gateway/src/http/server.ts
@@ -1,5 +1,5 @@
 /** The HTTP services of the gateway: callers, readiness and metrics, each on its own address. */
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import restana from 'restana';
 import type { CallerLimits } from '@verbenashunt/core';
@@ -74,7 +74,7 @@
     res.setHeader('cache-control', 'no-store');
     res.end(body);
   });
-  const server = await app.start(port, host) as Server;
+  const server = await app.start(port, host);
   return {
     port: (server.address() as AddressInfo).port,
     close() {
--- a/packages/gateway/src/placement/controller.ts
+++ b/packages/gateway/src/placement/controller.ts
@@ -117,7 +117,10 @@
     return targets.ofService(service)
       .filter(({ draining, id }) => !draining && !deps.isDead(id) && !deps.isFailing(id))
       .flatMap((target) => toLayerHost(engine, target) ?? [])
-      .map((host) => ({ ...host, held: queued.get(host.id) ?? pending.get(host.id) ?? host.held }));
+      .map((host) => {
+        const { id, held } = host;
+        return { ...host, held: queued.get(id) ?? pending.get(id) ?? held };
+      });
   }
 
   function settled(hosts: readonly LayerHost[]): boolean {
@@ -126,7 +129,8 @@
       signature = next;
       settledAt = clock.now();
     }
-    return hosts.some(({ held }) => held !== undefined) || clock.now() - settledAt >= settleMs;
+    return hosts.some(({ held }) => held !== undefined)
+      || clock.now() - settledAt >= settleMs;
   }
 
   function place(service: string, engine: EngineModel) {
@@ -134,7 +138,8 @@
     if (hosts.length === 0 || !settled(hosts)) return;
     const isDoubtful = lease.right()?.isOrphaned
       || targets.ofService(service).some(({ id }) => deps.isFailing(id));
-    planLayers(engine, hosts, { mayMove: !isDoubtful }).forEach((range) => queued.set(range.id, range));
+    planLayers(engine, hosts, { mayMove: !isDoubtful })
+      .forEach((range) => queued.set(range.id, range));
     [...queued.values()]
       .filter(({ id }) => targets.byId(id)?.service === service && !calling.has(id))
       .slice(0, Math.max(0, engine.loadsAtOnce - pending.size - calling.size))
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -151,27 +151,6 @@
     sink.whole(answer);
   }
 
-  function event(next: StreamEvent, headers: IncomingHttpHeaders) {
-    const verdict = order.accept(next);
-    if (verdict === 'repeated') return;
-    if (verdict === 'gap') {
-      attempt?.abort();
-      failed({
-        end: 'broken', reason: `event ${next.id} follows ${order.last}`, blamed: undefined, answer: undefined,
-      });
-      return;
-    }
-    const now = clock.now();
-    if (firstMs === undefined) firstMs = now - spec.arrivedAt;
-    else maxPauseMs = Math.max(maxPauseMs, now - deliveredAt);
-    heardAt = now;
-    deliveredAt = now;
-    writer ??= sink.open(200, headers);
-    life = { ...life, delivered: true };
-    writer.write(next.bytes.toString('latin1'));
-    moveIfLeaving();
-  }
-
   function completed(headers: IncomingHttpHeaders) {
     choice!.parts.forEach(({ id }) => selector.health.succeeded(id));
     writer ??= sink.open(200, headers);
@@ -201,7 +180,8 @@
 
   /** Whether the stream could go on as a new attempt, on a chain of another zone. */
   function canResume(): boolean {
-    if (!mayRepeat(spec) || life.ran + 1 >= spec.maxAttempts || timeLeftMs() < minTimeMs) return false;
+    const isLast = life.ran + 1 >= spec.maxAttempts;
+    if (!mayRepeat(spec) || isLast || timeLeftMs() < minTimeMs) return false;
     const other = selector.choose(spec, avoid);
     return other !== undefined && selector.isInZone(other) && deps.retries.has();
   }
@@ -266,15 +246,36 @@
     startReroute(leaving.id, leaving.address, 'a stage is leaving');
   }
 
+  function event(next: StreamEvent, headers: IncomingHttpHeaders) {
+    const verdict = order.accept(next);
+    if (verdict === 'repeated') return;
+    if (verdict === 'gap') {
+      attempt?.abort();
+      failed({
+        end: 'broken', reason: `event ${next.id} follows ${order.last}`, blamed: undefined, answer: undefined,
+      });
+      return;
+    }
+    const now = clock.now();
+    if (firstMs === undefined) firstMs = now - spec.arrivedAt;
+    else maxPauseMs = Math.max(maxPauseMs, now - deliveredAt);
+    heardAt = now;
+    deliveredAt = now;
+    writer ??= sink.open(200, headers);
+    life = { ...life, delivered: true };
+    writer.write(next.bytes.toString('latin1'));
+    moveIfLeaving();
+  }
+
   function watch() {
     if (spec.kind !== 'stream' || !spec.service.engine) return;
-    const { objectiveMs, maxPauseMs } = spec.route;
+    const { objectiveMs, maxPauseMs: onTimeMs } = spec.route;
     heardAt = clock.now();
     cancelWatch = deps.stalls.watch({
       requestId: spec.caller.id,
       target: choice!.target,
       quietSince: () => heardAt,
-      maxQuietMs: life.delivered ? quietShare * maxPauseMs : firstQuietShare * objectiveMs,
+      maxQuietMs: life.delivered ? quietShare * onTimeMs : firstQuietShare * objectiveMs,
       stalledBy,
       lost() {
         selector.failed(choice!.target.id);
--- a/packages/gateway/src/routing/load-monitor.ts
+++ b/packages/gateway/src/routing/load-monitor.ts
@@ -38,9 +38,11 @@
 }
 
 /** Time between questions to one target in milliseconds. */
-const periodMs = 1500;
+const periodMs = 2000;
 /** Time to the next question after one without an answer in milliseconds. */
 const againMs = 150;
+/** Time to the next question to a dead target in milliseconds. */
+const deadPeriodMs = 1000;
 /** Time for a target to answer in milliseconds. */
 const answerTimeoutMs = 400;
 /** Questions in a row without an answer after which a target is taken for dead. */
@@ -75,7 +77,13 @@
     const found = known.get(id);
     if (found) return found;
     const created: Known = {
-      dueAt: 0, isAsking: false, misses: 0, slowdown: 1, fullness: 0, reported: undefined, ownAtReport: 0,
+      dueAt: 0,
+      isAsking: false,
+      misses: 0,
+      slowdown: 1,
+      fullness: 0,
+      reported: undefined,
+      ownAtReport: 0,
     };
     known.set(id, created);
     return created;
@@ -93,7 +101,9 @@
       slowdown, kvUsed, kvTotal, held,
     } = protocol.decodeReport(status, body);
     deps.onHeld(target, held);
-    if (slowdown !== state.slowdown) log.info({ target: target.id, slowdown }, 'target changed its pace');
+    if (slowdown !== state.slowdown) {
+      log.info({ target: target.id, slowdown }, 'target changed its pace');
+    }
     if (state.misses >= maxMisses) log.info({ target: target.id }, 'target answers again');
     Object.assign(state, {
       misses: 0,
@@ -107,7 +117,8 @@
 
   function missed(target: ServingTarget, state: Known, err: unknown) {
     const misses = state.misses + 1;
-    Object.assign(state, { misses, dueAt: clock.now() + againMs });
+    const waitMs = misses < maxMisses ? againMs : deadPeriodMs;
+    Object.assign(state, { misses, dueAt: clock.now() + waitMs });
     if (misses !== maxMisses) return;
     const error = BaseError.normalize(err);
     log.warn({ target: target.id, code: errorCode(error), err: error.message }, 'target is dead');
--- a/packages/gateway/src/routing/selector.ts
+++ b/packages/gateway/src/routing/selector.ts
@@ -142,7 +142,7 @@
     },
     /** A request was not run or not answered for a reason that lies at the target. */
     doubted(id: string, isBlamed: boolean) {
-      // One that refuses with memory to spare is leaving, or holds other layers than it is known to.
+      // One that refuses with memory to spare is leaving, or holds other layers than known.
       if (isBlamed && !deps.load().isFull(id)) health.failed(id);
       else health.doubted(id);
       if (isBlamed) deps.load().check(id);
--- a/packages/gateway/src/store/follow.ts
+++ b/packages/gateway/src/store/follow.ts
@@ -48,6 +48,10 @@
   let isClosed = false;
   let heardAt = clock.now();
 
+  const wait = (ms: number) => new Promise<void>((resolve) => {
+    clock.after(ms, resolve);
+  });
+
   function heard(state: TableState) {
     if (failures > 0) log.info({ table, failures }, 'table followed again');
     failures = 0;
@@ -78,10 +82,6 @@
     if (err instanceof HistoryLostError) version = undefined;
   }
 
-  const wait = (ms: number) => new Promise<void>((resolve) => {
-    clock.after(ms, resolve);
-  });
-
   const pause = () => wait(
     (backoffMs[Math.min(failures, backoffMs.length) - 1] ?? 0) * (0.75 + random() / 2),
   );
--- /dev/null
+++ b/scripts/bundle.d.mts
@@ -0,0 +1,2 @@
+/** Bundles the platform's daemon into a file. */
+export function bundle(outfile: string): Promise<unknown>;
--- a/scripts/generate.ts
+++ b/scripts/generate.ts
@@ -44,6 +44,18 @@
     .replace(/export interface \w+Root \{\s*\[k: string\]: unknown;\s*\}\n/, '');
 }
 
+/** The code with imports in place of its calls of `require`, so that bundlers see them. */
+function withImports(code: string): string {
+  const modules = [...new Set([...code.matchAll(/require\("([^"]+)"\)/g)].map(([, name]) => name!))];
+  const imports = modules.map((name, i) => `import imported${i} from '${name}.js';`);
+  // Loaders differ in what the default import of an older module is.
+  const runtimes = modules
+    .map((_, i) => `const runtime${i} = imported${i}.default ? imported${i} : { default: imported${i} };`);
+  const body = modules
+    .reduce((text, name, i) => text.replaceAll(`require("${name}")`, `runtime${i}`), code);
+  return [...imports, ...runtimes, body].join('\n');
+}
+
 /** Every definition gets a validator `validateName`, as code that needs no compiler. */
 function validatorsOf({ schema }: SchemaFile): string {
   const names = Object.keys(schema.$defs);
@@ -58,15 +70,7 @@
   });
   const refs = Object.fromEntries(names.map((n) => [`validate${n}`, `${schema.$id}#/$defs/${n}`]));
   const code = standaloneCode(ajv, refs);
-  return [
-    `/* ${notice} */`,
-    '// @ts-nocheck',
-    "import { createRequire } from 'node:module';",
-    '',
-    'const require = createRequire(import.meta.url);',
-    code,
-    '',
-  ].join('\n');
+  return [`/* ${notice} */`, '// @ts-nocheck', withImports(code), ''].join('\n');
 }
 
 function schemaDataOf({ schema }: SchemaFile): string {
--- /dev/null
+++ b/test/platform/settings.test.ts
@@ -0,0 +1,56 @@
+/** The platform's settings file: decoded, unknown fields left alone, faults told in one line. */
+import { expect, test } from 'vitest';
+import { SettingsError } from '@verbenashunt/core';
+import { decodeSettings, loadSettings } from '@verbenashunt/platform';
+
+const text = `
+node = "edge-1"
+zone = "zone-a"
+region = "region"
+ip = "10.0.0.1"
+internalPorts = [7340, 7355]
+later = { new = true }
+[listen]
+front = "10.0.0.1:8227"
+readyAddr = "10.0.0.1:8220"
+[bounds]
+drainMs = 2000
+graceS = 8
+configApplyMs = 2000
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+budgetExtra = 198
+[platform]
+address = "10.200.1.7:8223"
+`;
+
+test('decoded into what the fields hold', () => {
+  expect(decodeSettings(text)).toEqual({
+    storeAddress: '10.200.1.7:8223',
+    gateway: {
+      node: 'edge-1',
+      zone: 'zone-a',
+      front: { host: '10.0.0.1', port: 8227 },
+      readiness: { host: '10.0.0.1', port: 8220, path: '/api/readiness' },
+      metrics: { host: '10.0.0.1', port: 7340 },
+      graceMs: 8000,
+      retries: { ratio: 0.2, extra: 198, windowMs: 10_000 },
+    },
+  });
+});
+
+test.each([
+  ['not TOML', 'node = ', /not TOML/],
+  ['a field missing', text.replace('zone = "zone-a"', ''), /zone/],
+  ['a wrong type', text.replace('graceS = 8', 'graceS = "8"'), /graceS must be number/],
+  ['no address', text.replace('10.0.0.1:8227', '10.0.0.1'), /listen\.front is "10\.0\.0\.1"; it takes IP:PORT/],
+  ['a port out of range', text.replace(':8220', ':99999'), /listen\.readyAddr/],
+])('%s', (_, faulty, message) => {
+  expect(() => decodeSettings(faulty)).toThrow(SettingsError);
+  expect(() => decodeSettings(faulty)).toThrow(message);
+});
+
+test('no variable, no file', async () => {
+  await expect(loadSettings({})).rejects.toThrow(/VERBENASHUNT_BOOT is missing/);
+  await expect(loadSettings({ VERBENASHUNT_BOOT: '/none' })).rejects.toThrow(/VERBENASHUNT_BOOT is "\/none"/);
+});
