--- a/scripts/docs.ts
+++ b/scripts/docs.ts
@@ -40,7 +40,7 @@
 
 /** Metrics as the sources of the daemons declare them. */
 async function metricsTable(): Promise<string> {
-  const packages = ['entry', 'agent', 'wire'].map((name) => `packages/${name}/src`);
+  const packages = ['entry', 'agent', 'gateway', 'wire'].map((name) => `packages/${name}/src`);
   const files = (await Promise.all(packages.map(async (dir) => (
     await readdir(dir, { recursive: true })).map((file) => join(dir, file))))).flat()
     .filter((file) => file.endsWith('.ts'));
