Close holes before holding copies, and let begun streams look for a chain again

Cause: spare copies had used up the room from which holes are closed; ranges were moved while streams passed through them, which engines wait for, and orders that wait held up all others; retries of requests that had not begun used up the repeats of streams that had.

Change: no spare copies; layers are given up only once the targets have stood still for 3 s; an order that overruns its load time holds up no other; 0.4 of the repeats are kept for begun streams, and those look for a chain again every 150 ms; streams leave a target only for a chain with room.

--- a/packages/core/src/placement/zone-plan.ts
+++ b/packages/core/src/placement/zone-plan.ts
@@ -16,11 +16,8 @@
 const maxStages = 28;
 /** Share of the KV cache of a range that its copy must have room for. */
 const copyShare = 0.5;
-/**
- * Share of the KV tokens of the evenest layout that a host keeps when it takes on a neighbour's
- * layers; requests that pass through its own layers alone have more.
- */
-const keptShare = 0.3;
+/** Share of the KV tokens of the evenest layout that a host keeps when it closes a hole. */
+const keptShare = 0.18;
 
 const byMemory = (a: LayerHost, b: LayerHost) => b.memoryMb - a.memoryMb
   || a.stepFactor - b.stepFactor
@@ -192,49 +189,13 @@
   }, group.filter(isHolder))
   .map(({ id, held }): PlacedRange => ({ id, ...held }));
 
-const isWithin = (inner: LayerRange, outer: LayerRange) => outer.lo <= inner.lo
-  && inner.hi <= outer.hi;
-
-/** Whether the layers of a host are all held by others too. */
-const hasCopy = (holders: readonly Holder[], host: Holder) => holesIn(
-  holders.filter((other) => other !== host).map(({ held }) => held),
-  host.held.hi,
-).every((hole) => hole.hi <= host.held.lo);
-
-/** The range of a host with that of a neighbour whose layers no other host holds. */
-function spareFor(
-  engine: EngineModel,
-  holders: readonly Holder[],
-  host: Holder,
-  kept: number,
-): LayerRange | undefined {
-  return holders
-    .filter(({ held }) => held.hi === host.held.lo || held.lo === host.held.hi)
-    .filter((neighbour) => !hasCopy(holders, neighbour) && !isWithin(neighbour.held, host.held))
-    .map(({ held }) => ({
-      lo: Math.min(held.lo, host.held.lo), hi: Math.max(held.hi, host.held.hi),
-    }))
-    .filter((range) => kvOf(engine, host, lengthOf(range)) >= kept)
-    .sort((a, b) => lengthOf(b) - lengthOf(a))[0];
-}
-
-/** Hosts with room take on the layers of a neighbour, so that its loss leaves no hole. */
-function spares(engine: EngineModel, group: readonly LayerHost[]): PlacedRange[] {
-  const kept = keptTokens(engine, group);
-  const spared = group.filter(isHolder).sort(byMemory).reduce((holders, host) => {
-    const held = spareFor(engine, holders, host, kept);
-    return held ? holders.map((other) => (other === host ? { ...host, held } : other)) : holders;
-  }, group.filter(isHolder));
-  return spared.map(({ id, held }) => ({ id, ...held }));
-}
-
 /** Ranges to order for one group, beside those that stand. */
 function planGroup(engine: EngineModel, group: readonly LayerHost[]): PlacedRange[] {
   const holders = group.filter(isHolder);
   if (holders.length === 0) return canHold(engine, group) ? layGroup(engine, group) : [];
   const holes = holesIn(holders.map(({ held }) => held), engine.layers);
   if (holes.length > 0) return fillHoles(engine, group, holes);
-  return group.every(isHolder) ? spares(engine, group) : copies(engine, group);
+  return copies(engine, group);
 }
 
 /** A chain of all hosts of a group in the order of what they hold, so that few layers move. */
--- a/packages/core/src/serving/retry-window.ts
+++ b/packages/core/src/serving/retry-window.ts
@@ -23,15 +23,18 @@
 export interface RetryWindow {
   /** A first request to the service. */
   deposit(): void;
-  /** Whether a repeat is left. */
-  has(): boolean;
+  /** Whether a repeat is left; `isBegun` for a stream that its caller has in part. */
+  has(isBegun: boolean): boolean;
   /** Takes one repeat; false when the window is spent. */
-  withdraw(): boolean;
+  withdraw(isBegun: boolean): boolean;
 }
 
 /** Share of the allowance that is used; the rest covers entries that are not yet known. */
 const usedShare = 0.8;
 
+/** Share of the repeats that is kept for streams that their callers have in part. */
+const begunShare = 0.4;
+
 /** Drops the times before `since`, which lie in order. */
 function dropBefore(times: number[], since: number) {
   const first = times.findIndex((time) => time >= since);
@@ -43,13 +46,14 @@
   const firsts: number[] = [];
   const repeats: number[] = [];
 
-  function has(): boolean {
+  function has(isBegun: boolean): boolean {
     const { ratio, extra, windowMs } = limits();
     const since = clock.now() - windowMs;
     dropBefore(firsts, since);
     dropBefore(repeats, since);
     const share = extra / Math.max(1, options.entries());
-    return repeats.length + 1 <= usedShare * (share + ratio * firsts.length);
+    const allowed = usedShare * (share + ratio * firsts.length);
+    return repeats.length + 1 <= allowed * (isBegun ? 1 : 1 - begunShare);
   }
 
   return {
@@ -58,8 +62,8 @@
       firsts.push(clock.now());
     },
     has,
-    withdraw() {
-      if (!has()) return false;
+    withdraw(isBegun) {
+      if (!has(isBegun)) return false;
       repeats.push(clock.now());
       return true;
     },
--- a/packages/gateway/src/placement/controller.ts
+++ b/packages/gateway/src/placement/controller.ts
@@ -31,6 +31,11 @@
 const tickMs = 200;
 /** Time for which the list of targets must stand still before layers are first laid out. */
 const settleMs = 800;
+/**
+ * Time for which the targets must stand still before layers are given up: by then the streams that
+ * passed through a broken chain have ended, and giving up doesn't wait for them.
+ */
+const calmMs = 3000;
 /** Time for a target to answer a report or an order in milliseconds. */
 const callTimeoutMs = 600;
 /** Time after which an order without effect is planned anew, beyond what loading takes. */
@@ -133,16 +138,20 @@
       || clock.now() - settledAt >= settleMs;
   }
 
+  /** Orders that should still be loading; one that waits for old streams holds up no others. */
+  const loading = () => [...pending.values()].filter(({ until }) => until > clock.now()).length;
+
   function place(service: string, engine: EngineModel) {
     const hosts = hostsOf(service, engine);
     if (hosts.length === 0 || !settled(hosts)) return;
     const isDoubtful = lease.right()?.isOrphaned
       || targets.ofService(service).some(({ id }) => deps.isFailing(id));
-    planLayers(engine, hosts, { mayMove: !isDoubtful })
+    const isCalm = clock.now() - settledAt >= calmMs && pending.size + queued.size === 0;
+    planLayers(engine, hosts, { mayMove: isCalm && !isDoubtful })
       .forEach((range) => queued.set(range.id, range));
     [...queued.values()]
       .filter(({ id }) => targets.byId(id)?.service === service && !calling.has(id))
-      .slice(0, Math.max(0, engine.loadsAtOnce - pending.size - calling.size))
+      .slice(0, Math.max(0, engine.loadsAtOnce - loading() - calling.size))
       .forEach((range) => {
         call(targets.byId(range.id)!, () => order(targets.byId(range.id)!, range, engine));
       });
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -42,6 +42,8 @@
 const moveAfterMs = 600;
 /** Time over which streams are moved away, so that not all are read anew at once. */
 const moveSpreadMs = 900;
+/** Pause before a begun stream that finds no chain with room looks for one again. */
+const resumeDelayMs = 150;
 /** Time for a target to answer the order to send a request over another chain. */
 const repathTimeoutMs = 500;
 /** Silence between events, as a share of the longest pause that is on time, that is looked into. */
@@ -108,7 +110,7 @@
   function takeRetry(end: AttemptEnd): boolean {
     if (timeLeftMs() < minTimeMs || !selector.choose(spec, avoid)) return false;
     // Nothing arrived at a target, so nothing is charged for the next arrival.
-    return end === 'unsent' || deps.retries.withdraw();
+    return end === 'unsent' || deps.retries.withdraw(life.delivered);
   }
 
   /** Ends the request where it stands; `code` is for one that can't have run. */
@@ -145,8 +147,24 @@
     const isWanted = stepAfter(spec, life, end, true).do === 'try';
     const step = stepAfter(spec, life, end, isWanted && takeRetry(end));
     if (step.do === 'try') begin();
+    else if (isWanted && canWait()) resumeLater();
     else finish(step, failure);
   }
+
+  /** Whether a begun stream may still find a chain; its caller has what was made so far. */
+  function canWait(): boolean {
+    return life.delivered && mayRepeat(spec) && life.ran < spec.maxAttempts
+      && timeLeftMs() > resumeDelayMs && deps.retries.has(true);
+  }
+
+  /** Looks for a chain again; targets that had no room may have some by then. */
+  function resumeLater() {
+    cancelTry = clock.after(resumeDelayMs, () => {
+      avoid.clear();
+      if (deps.retries.withdraw(true)) begin();
+      else giveUp('overloaded', 'no repeats left');
+    });
+  }
   /* eslint-enable @typescript-eslint/no-use-before-define */
 
   function answered(answer: WholeAnswer) {
@@ -188,7 +206,8 @@
     const isLast = life.ran + 1 >= spec.maxAttempts;
     if (!mayRepeat(spec) || isLast || timeLeftMs() < minTimeMs) return false;
     const other = selector.choose(spec, avoid);
-    return other !== undefined && selector.isInZone(other) && deps.retries.has();
+    return other !== undefined && selector.isInZone(other)
+      && selector.hasRoom(spec, other) && deps.retries.has(true);
   }
 
   /**
@@ -306,6 +325,10 @@
 
   function begin() {
     choice = selector.choose(spec, avoid);
+    if (!choice && canWait()) {
+      resumeLater();
+      return;
+    }
     if (!choice) {
       giveUp(spec.service.engine ? 'no_chain' : 'no_target', 'no target');
       return;
--- a/test/serving/retry-window.test.ts
+++ b/test/serving/retry-window.test.ts
@@ -14,7 +14,7 @@
     windows.forEach((window) => {
       Array.from({ length: requestsPerTick }).forEach(() => window.deposit());
       Array.from({ length: 50 }).forEach(() => {
-        if (window.withdraw()) repeats.push(clock.now());
+        if (window.withdraw(true)) repeats.push(clock.now());
       });
     });
     clock.advance(100);
@@ -38,9 +38,19 @@
   const window = createRetryWindow({
     clock, limits: () => ({ ratio: 0, extra: 2, windowMs: 1000 }), entries: () => 1,
   });
-  expect([window.has(), window.has()]).toEqual([true, true]);
-  expect(window.withdraw()).toBe(true);
-  expect(window.has()).toBe(false);
+  expect([window.has(true), window.has(true)]).toEqual([true, true]);
+  expect(window.withdraw(true)).toBe(true);
+  expect(window.has(true)).toBe(false);
   clock.advance(1001);
-  expect(window.has()).toBe(true);
+  expect(window.has(true)).toBe(true);
+});
+
+test('a part is kept for streams that have begun', () => {
+  const clock = new ManualClock();
+  const window = createRetryWindow({ clock, limits: () => limits, entries: () => 1 });
+  const takeAll = (isBegun: boolean) => Array.from({ length: 200 })
+    .filter(() => window.withdraw(isBegun)).length;
+  const [first, begun] = [takeAll(false), takeAll(true)];
+  expect(begun).toBeGreaterThanOrEqual(first * 0.5);
+  expect(first + begun).toBeLessThanOrEqual(limits.extra);
 });
