Pass on no promise that a target has not made

A target's own 503, 429, 421 or 408 without a word on whether it ran was passed on as it came, and so told a caller that its request had not run and never would. It now counts as unknown: tried again where that is allowed, else answered 502. The test 'once, shed-silently' failed before. Times of a stream's events have a module of their own.

--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -45,6 +45,11 @@
 
 const statusOk = 200;
 const serverErrors = 500;
+/**
+ * Statuses by which a caller is promised that its request did not run. A target that means it says
+ * so; without its word such an answer tells nothing.
+ */
+const promisingStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** A whole answer that is larger is not passed on; no route of the system has such answers. */
 const maxWholeBytes = 16 * 1024 * 1024;
 
@@ -74,7 +79,9 @@
 
   function endWhole(isFramed: boolean) {
     const answer = { ...head!, body: Buffer.concat(chunks), isFramed };
-    if (answer.status >= serverErrors) fail('failed', `status ${answer.status}`, { answer });
+    if (promisingStatuses.has(answer.status)) {
+      fail('unknown', `status ${answer.status} without a word on whether it ran`);
+    } else if (answer.status >= serverErrors) fail('failed', `status ${answer.status}`, { answer });
     else {
       isOver = true;
       handler.answered(answer);
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -12,6 +12,7 @@
   startAttempt, type Attempt, type AttemptDeps, type AttemptFailure,
 } from './attempt.js';
 import type { StallWatch } from './stall-watch.js';
+import { createStreamTiming } from './stream-timing.js';
 import type {
   AnswerSink, AnswerWriter, RequestRun, RequestSpec, WholeAnswer,
 } from './spec.js';
@@ -68,9 +69,7 @@
   /** When this stream is to be moved away from a target that leaves. */
   let moveAt: number | undefined;
   let heardAt = spec.arrivedAt;
-  let firstMs: number | undefined;
-  let maxPauseMs = 0;
-  let deliveredAt = spec.arrivedAt;
+  const timing = createStreamTiming(clock, spec.arrivedAt);
 
   const timeLeftMs = () => spec.expiresAt - clock.now();
 
@@ -183,9 +182,7 @@
       stages: choice!.parts.length,
       zones: new Set(choice!.parts.map(({ zone }) => zone)).size,
       attempts: life.ran + life.missed + 1,
-      firstMs: Math.round(firstMs ?? 0),
-      maxPauseMs: Math.round(maxPauseMs),
-      totalMs: Math.round(clock.now() - spec.arrivedAt),
+      ...timing.summary(),
       events: order.last,
     }, 'stream completed');
     close('completed');
@@ -280,13 +277,9 @@
       });
       return;
     }
-    const now = clock.now();
-    if (firstMs === undefined) {
-      firstMs = now - spec.arrivedAt;
-      deps.answerBegun(firstMs);
-    } else maxPauseMs = Math.max(maxPauseMs, now - deliveredAt);
-    heardAt = now;
-    deliveredAt = now;
+    const firstMs = timing.event();
+    if (firstMs !== undefined) deps.answerBegun(firstMs);
+    heardAt = clock.now();
     writer ??= sink.open(200, headers);
     life = { ...life, delivered: true };
     writer.write(next.bytes.toString('latin1'));
@@ -295,13 +288,13 @@
 
   function watch() {
     if (spec.kind !== 'stream' || !spec.service.engine) return;
-    const { objectiveMs, maxPauseMs: onTimeMs } = spec.route;
+    const { objectiveMs, maxPauseMs } = spec.route;
     heardAt = clock.now();
     cancelWatch = deps.stalls.watch({
       requestId: spec.caller.id,
       target: choice!.target,
       quietSince: () => heardAt,
-      maxQuietMs: life.delivered ? quietShare * onTimeMs : firstQuietShare * objectiveMs,
+      maxQuietMs: life.delivered ? quietShare * maxPauseMs : firstQuietShare * objectiveMs,
       stalledBy,
       lost() {
         selector.failed(choice!.target.id);
--- a/test/gateway/calls.test.ts
+++ b/test/gateway/calls.test.ts
@@ -60,7 +60,7 @@
   expect(ranBy(it)).toEqual([0, 6]);
 });
 
-test.each(['reset', 'foreign', 'half'] as const)('once, %s: unknown, not run again', async (manner) => {
+test.each(['reset', 'foreign', 'half', 'shed-silently'] as const)('once, %s: unknown, not run again', async (manner) => {
   const it = await begin();
   it.apps.forEach((app) => Object.assign(app, { manner }));
   const answer = await it.call(write);
