Ask for reports in one place, and take out what nothing reads

Three modules asked a target for its report, each in its own lines; askReport serves them now. Gone, as nothing read them: the age of a followed table, the list of suspects, closeIdle, the start of a pending order, a re-export. The gauge of known targets is filled when metrics are read and not at each row that changes. Behaviour is the same.

--- a/packages/core/src/placement/zone-plan.ts
+++ b/packages/core/src/placement/zone-plan.ts
@@ -1,14 +1,14 @@
 /**
  * Placement of a model's layers on targets of several availability zones: a whole chain inside each
  * zone whose memory allows one, since what crosses zones shares one narrow pipe. Zones that can't
- * hold the model alone are joined. A placement in force is only ever added to: layers that are
- * given up would first have to wait for every stream that passes through them.
+ * hold the model alone are joined. A placement in force is added to where that completes a chain:
+ * layers that are given up first have to wait for every stream that passes through them.
  */
 import type { EngineModel } from '../serving/config.js';
 import { groupBy } from '../serving/group-by.js';
 import { layChain, type PlacedRange } from './chain-layout.js';
 import {
-  canHold, lengthOf, maxKvTokens, minKvTokens, type LayerHost, type LayerRange,
+  canHold, lengthOf, maxKvTokens, minKvTokens, sameRange, type LayerHost, type LayerRange,
 } from './hosts.js';
 import { kvTokensBeside } from './memory.js';
 
@@ -246,5 +246,5 @@
     ...groups.flatMap((group) => planGroup(engine, group)),
     ...(mayMove ? beyondRepair(engine, groups) : []).flatMap((group) => layAnew(engine, group)),
   ];
-  return ranges.filter(({ id, lo, hi }) => held.get(id)?.lo !== lo || held.get(id)?.hi !== hi);
+  return ranges.filter((range) => !sameRange(held.get(range.id), range));
 }
--- a/packages/core/src/serving/health.ts
+++ b/packages/core/src/serving/health.ts
@@ -14,7 +14,6 @@
   isSuspect(id: string): boolean;
   /** Whether it has failed again after it was avoided, without a success since. */
   isFailing(id: string): boolean;
-  readonly suspects: readonly string[];
 }
 
 interface Suspicion {
@@ -56,8 +55,5 @@
     },
     isSuspect,
     isFailing: (id) => (suspicions.get(id)?.failures ?? 0) >= 2,
-    get suspects() {
-      return [...suspicions.keys()].filter(isSuspect);
-    },
   };
 }
--- a/packages/core/src/serving/targets.ts
+++ b/packages/core/src/serving/targets.ts
@@ -39,13 +39,12 @@
   readonly all: readonly ServingTarget[];
 }
 
-export function createTargetTable(onChange: () => void = () => {}): TargetTable {
+export function createTargetTable(): TargetTable {
   const targets = new Map<string, ServingTarget>();
   let byService: Map<string, ServingTarget[]> | undefined;
 
   function changed() {
     byService = undefined;
-    onChange();
   }
 
   return {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -102,10 +102,7 @@
     server?.apply(limits);
     events.emit('config', version);
   });
-  const targets = createTargetTable(() => {
-    config.view?.config.services.forEach(({ name }) => metrics.targets
-      .set({ service: name }, targets.ofService(name).length));
-  });
+  const targets = createTargetTable();
   const followDeps = {
     clock, random, log, store,
   };
@@ -260,9 +257,13 @@
   if (cfg.metrics) {
     probes.push(await serveProbe(cfg.metrics, {
       path: '/metrics',
-      answer: async () => ({
-        status: 200, type: metrics.registry.contentType, body: await metrics.registry.metrics(),
-      }),
+      async answer() {
+        config.view?.config.services.forEach(({ name }) => metrics.targets
+          .set({ service: name }, targets.ofService(name).length));
+        return {
+          status: 200, type: metrics.registry.contentType, body: await metrics.registry.metrics(),
+        };
+      },
     }));
   }
   log.info({ node: cfg.node, zone: cfg.zone, front: cfg.front }, 'gateway started');
--- a/packages/gateway/src/http/server.ts
+++ b/packages/gateway/src/http/server.ts
@@ -24,7 +24,6 @@
   /** Answers that have not wholly left. */
   readonly active: number;
   apply(limits: CallerLimits): void;
-  closeIdle(): void;
   destroy(): void;
 }
 
@@ -49,7 +48,6 @@
       server.headersTimeout = headerTimeoutMs;
       server.keepAliveTimeout = idleTimeoutMs;
     },
-    closeIdle: () => server.closeIdleConnections(),
     destroy() {
       server.close();
       server.closeAllConnections();
--- a/packages/gateway/src/placement/controller.ts
+++ b/packages/gateway/src/placement/controller.ts
@@ -5,18 +5,16 @@
   type CancelTimer, type Clock, type EngineModel, type LayerHost, type LayerRange,
   type PlacedRange, type ServingConfigHolder, type ServingTarget, type TargetTable,
 } from '@verbenashunt/core';
-import { exchangeOnce, type Exchanger } from '@verbenashunt/wire';
-import type { TargetProtocol, TargetReport } from '../ports.js';
+import { exchangeOnce } from '@verbenashunt/wire';
+import { askReport, type ReportDeps } from '../routing/report.js';
 import type { LeaseKeeper } from '../store/lease-keeper.js';
 
-export interface ControllerDeps {
+export interface ControllerDeps extends ReportDeps {
   clock: Clock;
   log: Logger;
   config: ServingConfigHolder;
   targets: TargetTable;
   lease: LeaseKeeper;
-  exchanger: Exchanger;
-  protocol: TargetProtocol;
   /** The target has given no answer for long enough to plan without it. */
   isDead(id: string): boolean;
   /** Requests keep failing at the target, as they do at one that leaves unannounced. */
@@ -42,7 +40,6 @@
 const orderSlackMs = 3000;
 
 interface Pending extends LayerRange {
-  since: number;
   /** Time by which the order should have taken effect. */
   until: number;
 }
@@ -61,20 +58,10 @@
   let isClosed = false;
   let cancel: CancelTimer = () => {};
 
-  async function report(target: ServingTarget): Promise<TargetReport> {
-    const { status, body } = await exchangeOnce(
-      exchanger,
-      target.address,
-      protocol.reportRequest(target),
-      callTimeoutMs,
-    );
-    return protocol.decodeReport(status, body);
-  }
-
   async function order(target: ServingTarget, range: PlacedRange, engine: EngineModel) {
     const token = lease.right()?.token;
     if (token === undefined) return;
-    const { busy, orders, held } = await report(target);
+    const { busy, orders, held } = await askReport(deps, target, callTimeoutMs);
     if (sameRange(held, range)) {
       queued.delete(target.id);
       targets.apply({ id: target.id, target: { ...target, held } });
@@ -92,15 +79,14 @@
     if (result === 'fenced') lease.fenced(token);
     if (result !== 'begun' && result !== 'done') return;
     const loadMs = ((range.hi - range.lo) / engine.layers) * engine.loadS * 1000;
-    const now = clock.now();
     pending.set(target.id, {
-      lo: range.lo, hi: range.hi, since: now, until: now + loadMs + orderSlackMs,
+      lo: range.lo, hi: range.hi, until: clock.now() + loadMs + orderSlackMs,
     });
   }
 
   /** Asks a target whether its order has taken effect. */
   async function followUp(target: ServingTarget, expected: Pending) {
-    const { busy, held } = await report(target);
+    const { busy, held } = await askReport(deps, target, callTimeoutMs);
     if (sameRange(held, expected)) {
       pending.delete(target.id);
       targets.apply({ id: target.id, target: { ...target, held } });
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -4,7 +4,7 @@
  */
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
 import type {
-  EngineModel, HeldRange, LayerRange, Refusal, ServingConfig, ServingTarget,
+  HeldRange, LayerRange, Refusal, ServingConfig, ServingTarget,
 } from '@verbenashunt/core';
 import type { OutgoingRequest } from '@verbenashunt/wire';
 
@@ -174,5 +174,3 @@
   callers: CallerProtocol;
   targets: TargetProtocol;
 }
-
-export type { EngineModel };
--- a/packages/gateway/src/requests/stall-watch.ts
+++ b/packages/gateway/src/requests/stall-watch.ts
@@ -6,8 +6,7 @@
 import {
   BaseError, errorCode, type Clock, type ServingTarget,
 } from '@verbenashunt/core';
-import { exchangeOnce, type Exchanger } from '@verbenashunt/wire';
-import type { TargetProtocol } from '../ports.js';
+import { askReport, type ReportDeps } from '../routing/report.js';
 
 export interface WatchedStream {
   requestId: string;
@@ -22,11 +21,9 @@
   lost(): void;
 }
 
-export interface StallWatchDeps {
+export interface StallWatchDeps extends ReportDeps {
   clock: Clock;
   log: Logger;
-  exchanger: Exchanger;
-  protocol: TargetProtocol;
 }
 
 export interface StallWatch {
@@ -51,9 +48,7 @@
 }
 
 export function createStallWatch(deps: StallWatchDeps): StallWatch {
-  const {
-    clock, log, exchanger, protocol,
-  } = deps;
+  const { clock, log } = deps;
   const streams = new Set<WatchedStream>();
   const asked = new Map<string, Asked>();
   let cancel = () => {};
@@ -64,13 +59,7 @@
     > maxQuietMs;
 
   async function ask(target: ServingTarget, state: Asked) {
-    const { status, body } = await exchangeOnce(
-      exchanger,
-      target.address,
-      protocol.reportRequest(target),
-      answerTimeoutMs,
-    );
-    const { stalled } = protocol.decodeReport(status, body);
+    const { stalled } = await askReport(deps, target, answerTimeoutMs);
     Object.assign(state, { misses: 0 });
     const culprits = new Map(stalled.map(({ requestId, address }) => [requestId, address]));
     if (culprits.size > 0) {
--- a/packages/gateway/src/routing/load-monitor.ts
+++ b/packages/gateway/src/routing/load-monitor.ts
@@ -7,14 +7,11 @@
 import {
   BaseError, correctedActive, errorCode, type Clock, type HeldRange, type ServingTarget,
 } from '@verbenashunt/core';
-import { exchangeOnce, type Exchanger } from '@verbenashunt/wire';
-import type { TargetProtocol } from '../ports.js';
+import { askReport, type ReportDeps } from './report.js';
 
-export interface LoadMonitorDeps {
+export interface LoadMonitorDeps extends ReportDeps {
   clock: Clock;
   log: Logger;
-  exchanger: Exchanger;
-  protocol: TargetProtocol;
   /** Engines to ask at this time. */
   engines(): readonly ServingTarget[];
   /** Tokens of this entry's requests at a target. */
@@ -66,9 +63,7 @@
 }
 
 export function createLoadMonitor(deps: LoadMonitorDeps): LoadMonitor {
-  const {
-    clock, log, exchanger, protocol, ownTokens,
-  } = deps;
+  const { clock, log, ownTokens } = deps;
   const known = new Map<string, Known>();
   let cancel = () => {};
   let isClosed = false;
@@ -91,15 +86,9 @@
 
   async function ask(target: ServingTarget, state: Known) {
     const ownAtReport = ownTokens(target.id);
-    const { status, body } = await exchangeOnce(
-      exchanger,
-      target.address,
-      protocol.reportRequest(target),
-      answerTimeoutMs,
-    );
     const {
       slowdown, kvUsed, kvTotal, held,
-    } = protocol.decodeReport(status, body);
+    } = await askReport(deps, target, answerTimeoutMs);
     deps.onHeld(target, held);
     if (slowdown !== state.slowdown) {
       log.info({ target: target.id, slowdown }, 'target changed its pace');
--- /dev/null
+++ b/packages/gateway/src/routing/report.ts
@@ -0,0 +1,24 @@
+/** Asks a target for its report. */
+import type { ServingTarget } from '@verbenashunt/core';
+import { exchangeOnce, type Exchanger } from '@verbenashunt/wire';
+import type { TargetProtocol, TargetReport } from '../ports.js';
+
+export interface ReportDeps {
+  exchanger: Exchanger;
+  protocol: TargetProtocol;
+}
+
+/** Rejects with TargetError or ProtocolError when no report came within `timeoutMs`. */
+export async function askReport(
+  { exchanger, protocol }: ReportDeps,
+  target: ServingTarget,
+  timeoutMs: number,
+): Promise<TargetReport> {
+  const { status, body } = await exchangeOnce(
+    exchanger,
+    target.address,
+    protocol.reportRequest(target),
+    timeoutMs,
+  );
+  return protocol.decodeReport(status, body);
+}
--- a/packages/gateway/src/routing/selector.ts
+++ b/packages/gateway/src/routing/selector.ts
@@ -44,10 +44,12 @@
     else counts.delete(id);
   };
 
-  /** Usable targets, without those to be avoided as long as others are left. */
+  const readyOf = (service: string, avoid: ReadonlySet<string>) => targets.ofService(service)
+    .filter(({ id, draining }) => !draining && !avoid.has(id));
+
+  /** Usable targets, without suspects as long as others are left. */
   function usable(service: string, avoid: ReadonlySet<string>): ServingTarget[] {
-    const ready = targets.ofService(service)
-      .filter(({ id, draining }) => !draining && !avoid.has(id));
+    const ready = readyOf(service, avoid);
     const sound = ready.filter(({ id }) => !health.isSuspect(id));
     return sound.length > 0 ? sound : ready;
   }
@@ -77,8 +79,7 @@
     fromLayer: number,
     fromZone: string,
   ): ChainStage[] | undefined {
-    const ready = targets.ofService(spec.service.name)
-      .filter(({ id, draining }) => !draining && !avoid.has(id));
+    const ready = readyOf(spec.service.name, avoid);
     const query = {
       engine: spec.service.engine!,
       size: spec.size,
--- a/packages/gateway/src/store/follow.ts
+++ b/packages/gateway/src/store/follow.ts
@@ -32,8 +32,6 @@
 export interface Follower {
   /** The last call was answered. */
   readonly isConnected: boolean;
-  /** Milliseconds since the table was last known to be current. */
-  ageMs(): number;
   close(): void;
 }
 
@@ -46,7 +44,6 @@
   let newest = 0;
   let failures = 0;
   let isClosed = false;
-  let heardAt = clock.now();
 
   const wait = (ms: number) => new Promise<void>((resolve) => {
     clock.after(ms, resolve);
@@ -55,7 +52,6 @@
   function heard(state: TableState) {
     if (failures > 0) log.info({ table, failures }, 'table followed again');
     failures = 0;
-    heardAt = clock.now();
     version = state.version;
     newest = Math.max(newest, state.version);
   }
@@ -108,7 +104,6 @@
     get isConnected() {
       return failures === 0 && version !== undefined;
     },
-    ageMs: () => clock.now() - heardAt,
     close() {
       isClosed = true;
     },
