Let begun streams take turns to look for a chain, and outlast refusals

At 21 s a release leaves one whole zone, whose only first target sheds. About thirty begun streams ask it again every 150 ms each: nine were cut after six refusals (the limit for attempts that did not run), twenty-one when the repeats of the window were spent on these questions.

Change: a refusal tells of all streams that wait for the service, so they queue: turns follow closely while there is room, and pause 150 ms after a refusal. Refusals no longer count against an answer that its caller has in part; its deadline, its caller and the number of runs end it. A spent budget makes it wait as well. What an entry keeps for a service is one module.

Tests: 'begun streams outlast a target without room' failed on the code before (answers cut), 'not given up for refusals alone' likewise.

--- a/packages/core/src/serving/life.ts
+++ b/packages/core/src/serving/life.ts
@@ -40,7 +40,10 @@
  */
 export type LifeStep = { do: 'try' | 'relay' | 'cut' } | { do: 'refuse'; ran: 'no' | 'unknown' };
 
-/** Attempts that did not run after which a request is refused, for each one that may run. */
+/**
+ * Attempts that did not run after which a request is refused, for each one that may run. An answer
+ * that its caller has in part is not given up for them: time and budget end it.
+ */
 const missesPerAttempt = 3;
 
 export const newLife = (): LifeState => ({ ran: 0, missed: 0, delivered: false });
@@ -55,7 +58,7 @@
   return {
     ...state,
     ran: state.ran + (missed ? 0 : 1),
-    missed: state.missed + (missed ? 1 : 0),
+    missed: state.missed + (missed && !state.delivered ? 1 : 0),
   };
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,9 +4,9 @@
 import Emittery from 'emittery';
 import type { Logger } from 'pino';
 import {
-  BaseError, createRefusal, createRetryWindow, createServingConfigHolder, createTargetTable,
+  BaseError, createRefusal, createServingConfigHolder, createTargetTable,
   errorCode, RefusalError, sameRange, SystemClock,
-  type Clock, type RetryLimits, type RetryWindow, type ServingTarget,
+  type Clock, type RetryLimits, type ServingTarget,
 } from '@verbenashunt/core';
 import { createBodyReader, createExchanger, drain } from '@verbenashunt/wire';
 import {
@@ -17,6 +17,7 @@
 import { createPlacementController } from './placement/controller.js';
 import type { CallerRequest, PlatformPorts, StoredRow } from './ports.js';
 import { startRun } from './requests/run.js';
+import { createServiceStates } from './requests/service-states.js';
 import { specOf } from './requests/spec-of.js';
 import type { RequestRun, RequestSpec } from './requests/spec.js';
 import { createStallWatch } from './requests/stall-watch.js';
@@ -90,7 +91,6 @@
   const readBody = createBodyReader({ maxBufferedBytes });
   const exchanger = createExchanger({ connectTimeoutMs, keepAliveMs });
   const runs = new Set<RequestRun>();
-  const retryWindows = new Map<string, RetryWindow>();
   let options = cfg;
   let stoppingAt: number | undefined;
   /** Undefined until it listens. */
@@ -181,15 +181,9 @@
     isFailing: selector.health.isFailing,
   });
 
-  function retriesOf(service: string): RetryWindow {
-    const known = retryWindows.get(service);
-    if (known) return known;
-    const created = createRetryWindow({
-      clock, limits: () => options.retries, entries: lease.entries,
-    });
-    retryWindows.set(service, created);
-    return created;
-  }
+  const stateOf = createServiceStates({
+    clock, limits: () => options.retries, entries: lease.entries,
+  });
 
   function run(spec: RequestSpec, res: ServerResponse) {
     const sink = createAnswerSink(res, callers, spec.caller.id);
@@ -201,7 +195,7 @@
       stalls,
       exchanger,
       protocol: ports.targets,
-      retries: retriesOf(spec.service.name),
+      ...stateOf(spec.service.name),
       closed(outcome) {
         metrics.requests.inc({ kind: spec.kind, outcome });
       },
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,3 +3,4 @@
 export type * from './ports.js';
 export * from './store/follow.js';
 export * from './store/lease-keeper.js';
+export * from './requests/resume-queue.js';
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -11,6 +11,7 @@
 import {
   startAttempt, type Attempt, type AttemptDeps, type AttemptFailure,
 } from './attempt.js';
+import type { ResumeQueue } from './resume-queue.js';
 import type { StallWatch } from './stall-watch.js';
 import { createStreamTiming } from './stream-timing.js';
 import type {
@@ -25,6 +26,8 @@
   stalls: StallWatch;
   /** Repeats to the request's service. */
   retries: RetryWindow;
+  /** Turns of the service's begun streams that look for a chain again. */
+  resumes: ResumeQueue;
   /** The request is over, with its outcome. */
   closed(outcome: string): void;
   attemptFailed(end: AttemptEnd): void;
@@ -43,8 +46,6 @@
 const moveAfterMs = 600;
 /** Time over which streams are moved away, so that not all are read anew at once. */
 const moveSpreadMs = 900;
-/** Pause before a begun stream that finds no chain with room looks for one again. */
-const resumeDelayMs = 150;
 /** Time for a target to answer the order to send a request over another chain. */
 const repathTimeoutMs = 500;
 /** Silence between events, as a share of the longest pause that is on time, that is looked into. */
@@ -143,25 +144,32 @@
       else selector.doubted(culprit, blamed !== undefined);
     }
     life = afterAttempt(life, end);
+    if (canResumeLater(end)) {
+      if (end === 'not_run') deps.resumes.refused();
+      resumeLater();
+      return;
+    }
     const isWanted = stepAfter(spec, life, end, true).do === 'try';
     const step = stepAfter(spec, life, end, isWanted && takeRetry(end));
     if (step.do === 'try') begin();
-    else if (isWanted && canWait()) resumeLater();
     else finish(step, failure);
   }
 
   /** Whether a begun stream may still find a chain; its caller has what was made so far. */
-  function canWait(): boolean {
-    return life.delivered && mayRepeat(spec) && life.ran < spec.maxAttempts
-      && timeLeftMs() > resumeDelayMs && deps.retries.has(true);
+  function canResumeLater(end: AttemptEnd): boolean {
+    return life.delivered && timeLeftMs() > minTimeMs
+      && stepAfter(spec, life, end, true).do === 'try';
   }
 
-  /** Looks for a chain again; targets that had no room may have some by then. */
+  /** Looks for a chain again at its turn; targets that had no room may have some by then. */
   function resumeLater() {
-    cancelTry = clock.after(resumeDelayMs, () => {
-      avoid.clear();
-      if (deps.retries.withdraw(true)) begin();
-      else giveUp('overloaded', 'no repeats left');
+    cancelTry = deps.resumes.wait(() => {
+      if (!selector.choose(spec, avoid)) avoid.clear();
+      if (selector.choose(spec, avoid) && deps.retries.withdraw(true)) begin();
+      else {
+        deps.resumes.refused();
+        resumeLater();
+      }
     });
   }
   /* eslint-enable @typescript-eslint/no-use-before-define */
@@ -318,10 +326,6 @@
 
   function begin() {
     choice = selector.choose(spec, avoid);
-    if (!choice && canWait()) {
-      resumeLater();
-      return;
-    }
     if (!choice) {
       giveUp(spec.service.engine ? 'no_chain' : 'no_target', 'no target');
       return;
--- a/test/gateway/streams.test.ts
+++ b/test/gateway/streams.test.ts
@@ -58,6 +58,23 @@
   expect(it.pool.flatMap(({ ran }) => ran).length).toBeLessThanOrEqual(2);
 });
 
+test('begun streams outlast a target without room, with few questions', async () => {
+  const it = await begin({ pool: [[0, 8]], engine: { events, eventMs: 30 } });
+  const [engine] = it.pool;
+  engine!.manner = 'half-full';
+  const pending = Array.from({ length: 12 }, () => it.stream({ headers: { 'request-deadline-ms': '6000' } }));
+  await new Promise((resolve) => {
+    setTimeout(resolve, 2000);
+  });
+  const refused = engine!.arrivals - engine!.ran.length;
+  engine!.manner = 'answer';
+  const answers = await Promise.all(pending);
+  expect(answers.map(({ body }) => body)).toEqual(Array(12).fill(whole));
+  expect(answers.every(({ isComplete }) => isComplete)).toBe(true);
+  expect(refused).toBeGreaterThan(5);
+  expect(refused).toBeLessThan(40);
+});
+
 test('a stream that waits for a dead stage is sent round it', async () => {
   const it = await begin({ pool: [[0, 4], [4, 8], [4, 8]], engine: { events } });
   const [first] = it.pool;
--- a/test/serving/life.test.ts
+++ b/test/serving/life.test.ts
@@ -79,3 +79,10 @@
   const begun = worlds.filter(({ state }) => state.delivered);
   expect(new Set(begun.map(({ step }) => step.do))).toEqual(new Set(['try', 'cut']));
 });
+
+test('a begun stream that may be repeated is not given up for refusals alone', () => {
+  const spec: LifeSpec = { kind: 'stream', resumable: true, maxAttempts: 2 };
+  const begun = { ...afterAttempt(newLife(), 'broken'), delivered: true };
+  const state = Array.from({ length: 20 }).reduce((last: LifeState) => afterAttempt(last, 'not_run'), begun);
+  expect(stepAfter(spec, state, 'not_run', true)).toEqual({ do: 'try' });
+});
