While stopping, begin late streams only when they can be expected to end

Ruled out: cutting earlier or later alone.

Change: streams are begun in the first 0.35 of the grace time, later ones only if the duration that one in twenty exceeds, of the last fifty, fits in what is left. Calls count with their own deadline instead of a share. The decision is a pure module.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,6 +20,7 @@
 import { createServiceStates } from './requests/service-states.js';
 import { specOf } from './requests/spec-of.js';
 import type { RequestRun, RequestSpec } from './requests/spec.js';
+import { createStreamDurations, isTooLate, stopMarginMs } from './requests/stop-window.js';
 import { createStallWatch } from './requests/stall-watch.js';
 import { createLoadMonitor } from './routing/load-monitor.js';
 import { createSelector } from './routing/selector.js';
@@ -69,15 +70,8 @@
 const maxBufferedBytes = 64 * 1024 * 1024;
 /** Least time of a stop: until the balancer has missed two of its checks, one a second. */
 const stopNoticeMs = 2200;
-/** Part of the grace time that is left for the process to end. */
-const stopMarginMs = 900;
 /** Time by which a target's report may lag behind its row, with room for the way. */
 const reportLagMs = 1000;
-/** Share of the grace time in which a stream is still begun; most end within the rest. */
-const lastStreamShare = 0.5;
-/** Share of the grace time in which another call is still begun. */
-const lastCallShare = 0.85;
-
 const hasBody = ({ headers }: IncomingMessage) => headers['transfer-encoding'] !== undefined
   || headers['content-length'] !== undefined;
 
@@ -91,6 +85,7 @@
   const readBody = createBodyReader({ maxBufferedBytes });
   const exchanger = createExchanger({ connectTimeoutMs, keepAliveMs });
   const runs = new Set<RequestRun>();
+  const durations = createStreamDurations();
   let options = cfg;
   let stoppingAt: number | undefined;
   /** Undefined until it listens. */
@@ -197,6 +192,7 @@
       protocol: ports.targets,
       ...stateOf(spec.service.name),
       closed(outcome) {
+        if (outcome === 'completed') durations.add(clock.now() - spec.arrivedAt);
         metrics.requests.inc({ kind: spec.kind, outcome });
       },
       attemptFailed(end) {
@@ -213,11 +209,8 @@
     });
   }
 
-  /** Whether a request can no longer be expected to end before this process does. */
-  function isTooLate({ kind, arrivedAt }: Pick<RequestSpec, 'kind' | 'arrivedAt'>): boolean {
-    const share = kind === 'stream' ? lastStreamShare : lastCallShare;
-    return stoppingAt !== undefined && arrivedAt - stoppingAt > share * options.graceMs;
-  }
+  const isStopTooNear = (spec: Omit<RequestSpec, 'body'>) => stoppingAt !== undefined
+    && isTooLate(spec, { startedAt: stoppingAt, graceMs: options.graceMs }, durations.long());
 
   async function handle(req: IncomingMessage, res: ServerResponse) {
     const arrivedAt = clock.now();
@@ -227,7 +220,7 @@
       caller = callers.read(req);
       if (!config.view) throw createRefusal('not_ready');
       const spec = specOf(config.view, caller, arrivedAt, random());
-      if (isTooLate(spec)) throw createRefusal('stopping');
+      if (isStopTooNear(spec)) throw createRefusal('stopping');
       const { maxBodyBytes } = config.view.config.limits;
       const body = hasBody(req) ? await readBody(req, maxBodyBytes) : undefined;
       if (!res.destroyed) run({ ...spec, body }, res);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,3 +4,4 @@
 export * from './store/follow.js';
 export * from './store/lease-keeper.js';
 export * from './requests/resume-queue.js';
+export * from './requests/stop-window.js';
