--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,7 +10,7 @@
 } from '@verbenashunt/core';
 import { createBodyReader, createExchanger, drain } from '@verbenashunt/wire';
 import {
-  serveCallers, serveProbe, type Address, type CallerServer,
+  headerBytesOf, serveCallers, serveProbe, type Address, type CallerServer,
 } from './http/server.js';
 import { createAnswerSink } from './http/sink.js';
 import { createGatewayMetrics } from './metrics.js';
@@ -219,9 +219,10 @@
     try {
       caller = callers.read(req);
       if (!config.view) throw createRefusal('not_ready');
+      const { maxBodyBytes, maxHeaderBytes } = config.view.config.limits;
+      if (headerBytesOf(req) > maxHeaderBytes) throw createRefusal('headers_too_large');
       const spec = specOf(config.view, caller, arrivedAt, random());
       if (isStopTooNear(spec)) throw createRefusal('stopping');
-      const { maxBodyBytes } = config.view.config.limits;
       const body = hasBody(req) ? await readBody(req, maxBodyBytes) : undefined;
       if (!res.destroyed) run({ ...spec, body }, res);
     } catch (err) {
--- a/packages/gateway/src/http/server.ts
+++ b/packages/gateway/src/http/server.ts
@@ -13,12 +13,24 @@
 export type Handler = (req: IncomingMessage, res: ServerResponse) => Promise<void>;
 
 /** Bounds until the configuration brings its own. */
-const firstLimits = { headerTimeoutMs: 3000, idleTimeoutMs: 15_000, maxHeaderBytes: 65_536 };
+const firstLimits = { headerTimeoutMs: 3000, idleTimeoutMs: 15_000 };
+/** Headers that are read at all, in bytes; the configuration's limit lies below. */
+const maxReadHeaderBytes = 256 * 1024;
 /** Time without progress after which an idle connection or unread answer is closed. */
 const stallTimeoutMs = 60_000;
 /** Callers' connections that are open at once; descriptors bound them first. */
 const maxConnections = 3000;
 
+/** Bytes that a header line has beside its name and value. */
+const lineBytes = ': \r\n'.length;
+
+/** Size of a request's first line and headers in bytes, as sent but for spaces. */
+export function headerBytesOf({ method = '', url = '', rawHeaders }: IncomingMessage): number {
+  const firstLine = `${method} ${url} HTTP/1.1\r\n`.length;
+  const texts = rawHeaders.reduce((sum, text) => sum + text.length, 0);
+  return firstLine + texts + (rawHeaders.length / 2) * lineBytes;
+}
+
 export interface CallerServer {
   readonly port: number;
   /** Answers that have not wholly left. */
@@ -30,7 +42,7 @@
 export async function serveCallers({ host, port }: Address, handler: Handler) {
   const listener = createHttpListener({
     maxConnections,
-    maxHeaderBytes: firstLimits.maxHeaderBytes,
+    maxHeaderBytes: maxReadHeaderBytes,
     headerTimeoutMs: firstLimits.headerTimeoutMs,
     bodyTimeoutMs: stallTimeoutMs,
     keepAliveTimeoutMs: firstLimits.idleTimeoutMs,
--- a/test/gateway/calls.test.ts
+++ b/test/gateway/calls.test.ts
@@ -1,5 +1,6 @@
 /** Calls to plain services through a gateway: what callers are told, and what targets ran. */
 import { afterEach, expect, test } from 'vitest';
+import { operatorConfig } from '@verbenashunt/platform/stand-in';
 import { startWorld, type GatewayWorld, type WorldOptions } from '../support/gateway-world.js';
 
 let world: GatewayWorld;
@@ -145,3 +146,17 @@
   const { call } = await begin();
   expect((await call({ ...write, body: 'x'.repeat(5000) })).status).toBe(413);
 });
+
+test('headers over the limit in force are refused, before and after it changes', async () => {
+  const { call, store, gateway } = await begin();
+  const withHeader = async (bytes: number) => {
+    const { status } = await call({ headers: { 'x-long': 'x'.repeat(bytes) } });
+    return status;
+  };
+  expect([await withHeader(15_000), await withHeader(17_000)]).toEqual([200, 431]);
+  const limits = { ...operatorConfig(1).limits, maxHeaderBytes: 100_000 };
+  const inForce = gateway.events.once('config');
+  store.put('op', 'config', operatorConfig(2, { limits }));
+  await inForce;
+  expect([await withHeader(90_000), await withHeader(110_000)]).toEqual([200, 431]);
+});
--- /dev/null
+++ b/test/platform/objects.test.ts
@@ -0,0 +1,52 @@
+/** The client of the platform's raw objects, through the store's faults. */
+import {
+  afterEach, beforeEach, expect, test,
+} from 'vitest';
+import { ConflictError, PlatformError, PlatformRateError } from '@verbenashunt/core';
+import { createObjectStore, type ObjectStore } from '@verbenashunt/platform';
+import { startStore, type StoreStandIn } from '@verbenashunt/platform/stand-in';
+
+let store: StoreStandIn;
+let client: ObjectStore;
+
+beforeEach(async () => {
+  store = await startStore();
+  client = createObjectStore(store.address);
+});
+
+afterEach(async () => {
+  client.close();
+  await store.close();
+});
+
+test('written, read, listed and dropped', async () => {
+  const bytes = Buffer.from([0, 255, 10, 13]);
+  await client.put('a/b c', bytes);
+  expect(await client.get('a/b c')).toEqual(bytes);
+  expect(await client.list('a/')).toEqual(['a/b c']);
+  await client.drop('a/b c');
+  expect(await client.get('a/b c')).toBeUndefined();
+  await client.drop('a/b c');
+});
+
+test('a new one does not replace another', async () => {
+  await client.put('a', Buffer.from('1'), { isNew: true });
+  await expect(client.put('a', Buffer.from('2'), { isNew: true })).rejects.toThrow(ConflictError);
+  expect(String(await client.get('a'))).toBe('1');
+});
+
+test('more names than one page', async () => {
+  Array.from({ length: 2100 }, (_, i) => store.objects.set(`n${String(i).padStart(4, '0')}`, Buffer.alloc(0)));
+  store.objects.set('other', Buffer.alloc(0));
+  const names = await client.list('n');
+  expect([names.length, new Set(names).size]).toEqual([2100, 2100]);
+});
+
+test.each([
+  ['busy', PlatformRateError], ['limit', PlatformRateError], ['lose', PlatformError], ['silent', PlatformError],
+] as const)('%s', async (fault, error) => {
+  store.fault = fault;
+  const err = await client.put('a', Buffer.from('1')).catch((reason: Error) => reason);
+  expect(err).toBeInstanceOf(error);
+  expect(err instanceof PlatformRateError).toBe(error === PlatformRateError);
+});
