Resume streams that a target drops without a word

Change: a stream silent for five times the pause that is on time (twice its objective before the first event), for which the first target's report names no reason, is resumed on another chain inside one zone, if one has room and the budget allows.

Test: 'a stream that its target drops without a word' failed before (cut at the caller's deadline).

--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -52,6 +52,10 @@
 const quietShare = 0.9;
 /** Silence before the first event, as a share of the objective, that is looked into. */
 const firstQuietShare = 0.5;
+/** Longest pauses on time after which a stream that is silent without a reason is resumed. */
+const mutePauses = 5;
+/** The same before the first event, in objectives; callers wait twice that or longer. */
+const muteObjectives = 2;
 
 export function startRun(spec: RequestSpec, sink: AnswerSink, deps: RunDeps): RequestRun {
   const { clock, log, selector } = deps;
@@ -206,11 +210,11 @@
     });
   }
 
-  /** Whether the stream could go on as a new attempt, on a chain of another zone. */
-  function canResume(): boolean {
+  /** Whether the stream could go on as a new attempt, on another chain inside one zone. */
+  function canResume(without: ReadonlySet<string>): boolean {
     const isLast = life.ran + 1 >= spec.maxAttempts;
     if (!mayRepeat(spec) || isLast || timeLeftMs() < minTimeMs) return false;
-    const other = selector.choose(spec, avoid);
+    const other = selector.choose(spec, without);
     return other !== undefined && selector.isInZone(other)
       && selector.hasRoom(spec, other) && deps.retries.has(true);
   }
@@ -223,7 +227,7 @@
     if (culprit !== undefined) avoid.add(culprit);
     const from = choice!;
     const next = culprit === from.target.id ? undefined : selector.reroute(spec, from, avoid);
-    if ((!next || !selector.isInZone(next)) && canResume()) {
+    if ((!next || !selector.isInZone(next)) && canResume(avoid)) {
       abandon(`${reason} and its zone has no other`, address);
       return;
     }
@@ -261,6 +265,14 @@
     startReroute(culprit, address, 'a stage is dead');
   }
 
+  /** Resumes a stream that its first target has dropped without a word. */
+  function silentFor(ms: number) {
+    const { maxPauseMs, objectiveMs } = spec.route;
+    const limitMs = life.delivered ? mutePauses * maxPauseMs : muteObjectives * objectiveMs;
+    if (ms < limitMs || !canResume(new Set([...avoid, choice!.target.id]))) return;
+    abandon('silent without a reason', undefined);
+  }
+
   /** Moves the stream away from a target that will be gone before long. */
   function moveIfLeaving() {
     const leaving = choice!.chain && selector.leaving(choice!);
@@ -304,6 +316,7 @@
       quietSince: () => heardAt,
       maxQuietMs: life.delivered ? quietShare * maxPauseMs : firstQuietShare * objectiveMs,
       stalledBy,
+      silentFor,
       lost() {
         selector.failed(choice!.target.id);
         abandon('the first target gave no report', undefined);
--- a/packages/gateway/src/requests/stall-watch.ts
+++ b/packages/gateway/src/requests/stall-watch.ts
@@ -17,6 +17,8 @@
   maxQuietMs: number;
   /** It waits for the target at an address. */
   stalledBy(address: string): void;
+  /** It has been silent for this time, and its first target tells no reason. */
+  silentFor(ms: number): void;
   /** Its first target doesn't answer any more. */
   lost(): void;
 }
@@ -55,8 +57,8 @@
   let isClosed = false;
 
   const ofTarget = (id: string) => [...streams].filter(({ target }) => target.id === id);
-  const isQuiet = ({ quietSince, maxQuietMs }: WatchedStream) => clock.now() - quietSince()
-    > maxQuietMs;
+  const quietMsOf = ({ quietSince }: WatchedStream) => clock.now() - quietSince();
+  const isQuiet = (stream: WatchedStream) => quietMsOf(stream) > stream.maxQuietMs;
 
   async function ask(target: ServingTarget, state: Asked) {
     const { stalled } = await askReport(deps, target, answerTimeoutMs);
@@ -68,6 +70,7 @@
     ofTarget(target.id).filter(isQuiet).forEach((stream) => {
       const address = culprits.get(stream.requestId);
       if (address !== undefined) stream.stalledBy(address);
+      else stream.silentFor(quietMsOf(stream));
     });
   }
 
--- a/test/gateway/streams.test.ts
+++ b/test/gateway/streams.test.ts
@@ -100,6 +100,19 @@
   expect(await pending).toMatchObject({ body: whole, isComplete: true });
 });
 
+test('a stream that its target drops without a word is resumed at another', async () => {
+  const it = await begin({ pool: twoChains, engine: { events } });
+  it.pool.slice(0, 2).forEach((engine) => Object.assign(engine, { pauseAfter: 3 }));
+  const pending = it.stream({ headers: { 'request-deadline-ms': '8000' } });
+  await expect.poll(() => it.pool.flatMap(({ ran }) => ran).length).toBe(1);
+  const mute = it.pool.find(({ ran }) => ran.length > 0)!;
+  const startedAt = performance.now();
+  it.pool.filter((engine) => engine !== mute)
+    .forEach((engine) => Object.assign(engine, { pauseAfter: undefined }));
+  expect(await pending).toMatchObject({ body: whole, isComplete: true });
+  expect(performance.now() - startedAt).toBeLessThan(2000);
+});
+
 test('a caller that leaves ends the stream at the target', async () => {
   const it = await begin({ pool: [[0, 8]], engine: { events: 500 } });
   await it.stream({ leaveAfterMs: 100 });
