Avoid targets that err often, and resume streams that a target has dropped

Six targets dropped two of five requests; each stream waited for a second before it was resumed, and the targets were chosen again at once, as any success cleared their doubts.

Change: errors of a target (no proper answer to a request that it took) add up and fade with successes, so two of five are enough to avoid it for half a second and longer. A stream that waits four times as long as one that was sent later to the same target, and longer than half its objective, is resumed. Refusals for want of room keep their rule: several in a row.

Tried and reverted: 'overtaken by any stream that was sent later' without the wait of that one.

--- a/packages/core/src/serving/health.ts
+++ b/packages/core/src/serving/health.ts
@@ -7,8 +7,10 @@
 export interface TargetHealth {
   /** The target is dead or can't be reached. */
   failed(id: string): void;
-  /** A request failed there; several in a row without a success count as a failure. */
+  /** It refused a request; several in a row without a success count as a failure. */
   doubted(id: string): void;
+  /** It took a request and failed it; so does one that errs often, beside successes. */
+  erred(id: string): void;
   succeeded(id: string): void;
   /** Whether other targets are to be preferred. */
   isSuspect(id: string): boolean;
@@ -28,8 +30,17 @@
 
 /** Doubts in a row that count as a failure. */
 const maxDoubts = 4;
+/** Part of the errors so far that is left after a success: one error in four requests adds up. */
+const errorsLeft = 0.7;
+/** Weight of errors, newest counting 1, that counts as a failure. */
+const maxErrors = 2;
+/** Weight below which successes end a suspicion. */
+const errorsForgotten = 0.4;
+/** Weight that is left then, so that one more error is enough when the target is tried again. */
+const errorsAfter = maxErrors - 1;
 
 export function createTargetHealth(clock: Clock): TargetHealth {
+  const errors = new Map<string, number>();
   const suspicions = new Map<string, Suspicion>();
   const doubts = new Map<string, number>();
 
@@ -49,9 +60,20 @@
       doubts.set(id, count % maxDoubts);
       if (count === maxDoubts) failed(id);
     },
+    erred(id) {
+      const weight = (errors.get(id) ?? 0) + 1;
+      if (weight >= maxErrors) failed(id);
+      errors.set(id, weight >= maxErrors ? errorsAfter : weight);
+    },
     succeeded(id) {
-      suspicions.delete(id);
       doubts.delete(id);
+      const weight = (errors.get(id) ?? 0) * errorsLeft;
+      if (weight > errorsForgotten) {
+        errors.set(id, weight);
+        return;
+      }
+      errors.delete(id);
+      suspicions.delete(id);
     },
     isSuspect,
     isFailing: (id) => (suspicions.get(id)?.failures ?? 0) >= 2,
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -11,6 +11,7 @@
 import {
   startAttempt, type Attempt, type AttemptDeps, type AttemptFailure,
 } from './attempt.js';
+import type { FirstEvents } from './first-events.js';
 import type { ResumeQueue } from './resume-queue.js';
 import type { StallWatch } from './stall-watch.js';
 import { createStreamTiming } from './stream-timing.js';
@@ -24,6 +25,7 @@
   log: Logger;
   selector: Selector;
   stalls: StallWatch;
+  firstEvents: FirstEvents;
   /** Repeats to the request's service. */
   retries: RetryWindow;
   /** Turns of the service's begun streams that look for a chain again. */
@@ -54,8 +56,8 @@
 const firstQuietShare = 0.5;
 /** Longest pauses on time after which a stream that is silent without a reason is resumed. */
 const mutePauses = 5;
-/** The same before the first event, in objectives; callers wait twice that or longer. */
-const muteObjectives = 2;
+/** The same before the first event, in objectives; callers wait four of them or longer. */
+const muteObjectives = 3;
 
 export function startRun(spec: RequestSpec, sink: AnswerSink, deps: RunDeps): RequestRun {
   const { clock, log, selector } = deps;
@@ -74,6 +76,8 @@
   /** When this stream is to be moved away from a target that leaves. */
   let moveAt: number | undefined;
   let heardAt = spec.arrivedAt;
+  /** When the attempt was sent, until its first event; undefined from then on. */
+  let sentAt: number | undefined;
   const timing = createStreamTiming(clock, spec.arrivedAt);
 
   const timeLeftMs = () => spec.expiresAt - clock.now();
@@ -144,8 +148,10 @@
     }, 'attempt failed');
     if (culprit !== undefined) {
       avoid.add(culprit);
+      const isBlamed = blamed !== undefined;
       if (end === 'unsent') selector.failed(culprit);
-      else selector.doubted(culprit, blamed !== undefined);
+      else if (end === 'not_run' || isBlamed) selector.doubted(culprit, isBlamed);
+      else selector.erred(culprit);
     }
     life = afterAttempt(life, end);
     if (canResumeLater(end)) {
@@ -216,7 +222,7 @@
     if (!mayRepeat(spec) || isLast || timeLeftMs() < minTimeMs) return false;
     const other = selector.choose(spec, without);
     return other !== undefined && selector.isInZone(other)
-      && selector.hasRoom(spec, other) && deps.retries.has(true);
+      && selector.hasRoom(spec, other) && deps.retries.has(life.delivered);
   }
 
   /**
@@ -269,8 +275,10 @@
   function silentFor(ms: number) {
     const { maxPauseMs, objectiveMs } = spec.route;
     const limitMs = life.delivered ? mutePauses * maxPauseMs : muteObjectives * objectiveMs;
-    if (ms < limitMs || !canResume(new Set([...avoid, choice!.target.id]))) return;
-    abandon('silent without a reason', undefined);
+    const { id } = choice!.target;
+    const isDropped = sentAt !== undefined && deps.firstEvents.isDropped(id, sentAt, clock.now());
+    if ((ms < limitMs && !isDropped) || !canResume(new Set([...avoid, id]))) return;
+    abandon(isDropped ? 'silent while others began' : 'silent without a reason', undefined);
   }
 
   /** Moves the stream away from a target that will be gone before long. */
@@ -297,6 +305,8 @@
       });
       return;
     }
+    if (sentAt !== undefined) deps.firstEvents.begun(choice!.target.id, sentAt, clock.now());
+    sentAt = undefined;
     const firstMs = timing.event();
     if (firstMs !== undefined) deps.answerBegun(firstMs);
     heardAt = clock.now();
@@ -346,6 +356,7 @@
     release = selector.hold(choice, spec);
     boundTry();
     watch();
+    sentAt = clock.now();
     attempt = startAttempt({
       caller: spec.caller,
       body: spec.body,
--- a/packages/gateway/src/routing/selector.ts
+++ b/packages/gateway/src/routing/selector.ts
@@ -148,6 +148,8 @@
       health.failed(id);
       deps.load().check(id);
     },
+    /** A target took a request and gave no proper answer. */
+    erred: health.erred,
     /** A request was not run or not answered for a reason that lies at the target. */
     doubted(id: string, isBlamed: boolean) {
       // One that refuses with memory to spare is leaving, or holds other layers than known.
--- a/test/serving/health.test.ts
+++ b/test/serving/health.test.ts
@@ -44,3 +44,28 @@
   });
   expect(health.isSuspect('a')).toBe(false);
 });
+
+/** Share of requests that go to a target which errs as told, when suspects are avoided. */
+function shareAt(errs: (i: number) => boolean): number {
+  const { clock, health } = begin();
+  const sent = Array.from({ length: 400 }, (_, i) => {
+    clock.advance(20);
+    if (health.isSuspect('a')) return 0;
+    if (errs(i)) health.erred('a');
+    else health.succeeded('a');
+    return 1;
+  });
+  return sent.reduce<number>((sum, n) => sum + n, 0) / sent.length;
+}
+
+test('one that errs on two of five requests is avoided most of the time', () => {
+  expect(shareAt((i) => i % 5 === 0 || i % 5 === 2)).toBeLessThan(0.2);
+});
+
+test('one that errs now and then is not', () => {
+  expect(shareAt((i) => i % 12 === 0)).toBe(1);
+});
+
+test('one that errs no more is used again', () => {
+  expect(shareAt((i) => i < 40 && i % 2 === 0)).toBeGreaterThan(0.75);
+});
