Take new streams only where streams are on time, and refuse the others at once

Change: an entry knows from its own streams how long a target lets them wait for a first event, and between events with those that wait still to come. A stream is sent where both are on time; else to another chain inside one zone; else refused at once, with a Retry-After spread over 1 to 3 s. Begun streams are not held to it. What the streams tell of a target is one pure module, in which 'dropped' (before: first-events) now lies too.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,7 +16,7 @@
 import { createGatewayMetrics } from './metrics.js';
 import { createPlacementController } from './placement/controller.js';
 import type { CallerRequest, PlatformPorts, StoredRow } from './ports.js';
-import { createFirstEvents } from './requests/first-events.js';
+import { createTargetProgress } from './requests/progress.js';
 import { startRun } from './requests/run.js';
 import { createServiceStates } from './requests/service-states.js';
 import { specOf } from './requests/spec-of.js';
@@ -87,7 +87,7 @@
   const exchanger = createExchanger({ connectTimeoutMs, keepAliveMs });
   const runs = new Set<RequestRun>();
   const durations = createStreamDurations();
-  const firstEvents = createFirstEvents();
+  const progress = createTargetProgress();
   let options = cfg;
   let stoppingAt: number | undefined;
   /** Undefined until it listens. */
@@ -190,7 +190,7 @@
       log,
       selector,
       stalls,
-      firstEvents,
+      progress,
       exchanger,
       protocol: ports.targets,
       ...stateOf(spec.service.name),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,4 +5,4 @@
 export * from './store/lease-keeper.js';
 export * from './requests/resume-queue.js';
 export * from './requests/stop-window.js';
-export * from './requests/first-events.js';
+export * from './requests/progress.js';
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -11,7 +11,7 @@
 import {
   startAttempt, type Attempt, type AttemptDeps, type AttemptFailure,
 } from './attempt.js';
-import type { FirstEvents } from './first-events.js';
+import type { StreamProgress, TargetProgress } from './progress.js';
 import type { ResumeQueue } from './resume-queue.js';
 import type { StallWatch } from './stall-watch.js';
 import { createStreamTiming } from './stream-timing.js';
@@ -25,7 +25,7 @@
   log: Logger;
   selector: Selector;
   stalls: StallWatch;
-  firstEvents: FirstEvents;
+  progress: TargetProgress;
   /** Repeats to the request's service. */
   retries: RetryWindow;
   /** Turns of the service's begun streams that look for a chain again. */
@@ -41,8 +41,10 @@
 const minTimeMs = 20;
 /** Objectives that a call which may be repeated waits for one target. */
 const tryObjectives = 3;
-/** Wait that a caller is told when targets are busy, in milliseconds. */
+/** Least wait that a caller is told when targets are busy, in milliseconds. */
 const busyRetryMs = 1000;
+/** Time over which the return of refused callers is spread, in milliseconds. */
+const busySpreadMs = 2000;
 
 /** Time from the notice that a target leaves until streams are moved away from it, at the least. */
 const moveAfterMs = 600;
@@ -76,8 +78,8 @@
   /** When this stream is to be moved away from a target that leaves. */
   let moveAt: number | undefined;
   let heardAt = spec.arrivedAt;
-  /** When the attempt was sent, until its first event; undefined from then on. */
-  let sentAt: number | undefined;
+  /** The attempt among the streams at its target; undefined for a call that is no stream. */
+  let progress: StreamProgress | undefined;
   const timing = createStreamTiming(clock, spec.arrivedAt);
 
   const timeLeftMs = () => spec.expiresAt - clock.now();
@@ -89,6 +91,7 @@
     cancelExpiry();
     attempt?.abort();
     release();
+    progress?.end();
     deps.closed(outcome);
   }
 
@@ -98,7 +101,8 @@
       req: id, code, ran, reason, attempts: life.ran + life.missed, route: spec.route.name,
     }, 'request refused');
     close(code);
-    sink.refuse(createRefusal(code, { ran, ...(ran === 'no' ? { retryAfterMs: busyRetryMs } : {}) }));
+    const retryAfterMs = Math.round(busyRetryMs + busySpreadMs * deps.random());
+    sink.refuse(createRefusal(code, { ran, ...(ran === 'no' ? { retryAfterMs } : {}) }));
   }
 
   function finish(step: LifeStep, failure: AttemptFailure) {
@@ -135,6 +139,7 @@
   /* eslint-disable @typescript-eslint/no-use-before-define -- a failure begins the next attempt */
   function failed(failure: AttemptFailure) {
     release();
+    progress?.end();
     cancelTry();
     cancelWatch();
     attempt = undefined;
@@ -275,9 +280,9 @@
   function silentFor(ms: number) {
     const { maxPauseMs, objectiveMs } = spec.route;
     const limitMs = life.delivered ? mutePauses * maxPauseMs : muteObjectives * objectiveMs;
-    const { id } = choice!.target;
-    const isDropped = sentAt !== undefined && deps.firstEvents.isDropped(id, sentAt, clock.now());
-    if ((ms < limitMs && !isDropped) || !canResume(new Set([...avoid, id]))) return;
+    const isDropped = progress?.isDropped(clock.now()) ?? false;
+    if (ms < limitMs && !isDropped) return;
+    if (!canResume(new Set([...avoid, choice!.target.id]))) return;
     abandon(isDropped ? 'silent while others began' : 'silent without a reason', undefined);
   }
 
@@ -305,8 +310,7 @@
       });
       return;
     }
-    if (sentAt !== undefined) deps.firstEvents.begun(choice!.target.id, sentAt, clock.now());
-    sentAt = undefined;
+    progress?.event(clock.now());
     const firstMs = timing.event();
     if (firstMs !== undefined) deps.answerBegun(firstMs);
     heardAt = clock.now();
@@ -347,16 +351,35 @@
     });
   }
 
+  /**
+   * Another choice inside one zone where the first would be late; undefined when all would. One
+   * more stream at a loaded target makes all others there late too.
+   */
+  function chooseOnTime(first: Choice, late = avoid): Choice | undefined {
+    const isOnTime = deps.progress.isOnTime(first.target.id, clock.now(), spec.route);
+    if (!spec.service.engine || isOnTime) return first;
+    const without = new Set([...late, first.target.id]);
+    const other = selector.choose(spec, without);
+    return other && selector.isInZone(other) ? chooseOnTime(other, without) : undefined;
+  }
+
   function begin() {
     choice = selector.choose(spec, avoid);
     if (!choice) {
       giveUp(spec.service.engine ? 'no_chain' : 'no_target', 'no target');
       return;
     }
+    if (life.ran + life.missed === 0) choice = chooseOnTime(choice);
+    if (!choice) {
+      giveUp('overloaded', 'no chain is on time');
+      return;
+    }
     release = selector.hold(choice, spec);
     boundTry();
     watch();
-    sentAt = clock.now();
+    progress = spec.kind === 'stream'
+      ? deps.progress.start(choice.target.id, clock.now())
+      : undefined;
     attempt = startAttempt({
       caller: spec.caller,
       body: spec.body,
