Plan without dead empty targets, and lead until the stop is over

The holder of the lease stopped at 19 s and gave up its right at once, while the store was silent: nobody could take it. The others planned a hole into an empty target that was dark, and asked it again every 0.7 s for ten seconds: only targets that hold layers were asked for reports, so an empty one could never be found dead.

Change: the entry that may give orders asks all targets of services with engines for reports, and drops planned ranges of dead ones. A stopping holder leads until its requests have ended, then writes the end of its lease, so that the next one needn't wait for it to lapse.

Ruled out: planning by rows alone; a row stays for three heartbeats, and for as long as the store is away.

Tests: 'an empty target that is dead holds up no hole' failed before (12 s); 'released: free at once' and 'released while the store is out of reach'.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -73,6 +73,9 @@
 const stopNoticeMs = 2200;
 /** Time by which a target's report may lag behind its row, with room for the way. */
 const reportLagMs = 1000;
+/** Time in which a stopping entry hands its lease over; the rest of the grace time must hold it. */
+const releaseTimeoutMs = 200;
+
 const hasBody = ({ headers }: IncomingMessage) => headers['transfer-encoding'] !== undefined
   || headers['content-length'] !== undefined;
 
@@ -108,6 +111,9 @@
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- each refers to the other
     clock, random, zone: cfg.zone, targets, entries: lease.entries, load: () => load,
   });
+  /** Targets of all services whose requests pass through engines. */
+  const engines = () => (config.view?.config.services ?? [])
+    .flatMap(({ name, engine }) => (engine ? targets.ofService(name) : []));
   /** When the row of a target last changed. */
   const rowChangedAt = new Map<string, number>();
   const load = createLoadMonitor({
@@ -125,8 +131,8 @@
       log.info({ target: target.id, held, was: known.held }, 'target holds other layers than listed');
       targets.apply({ id: target.id, target: { ...known, held } });
     },
-    engines: () => targets.all.filter(({ id, held, zone }) => held !== undefined
-      && (lease.right() !== undefined || zone === cfg.zone || selector.ownTokens(id) > 0)),
+    engines: () => engines().filter(({ id, held, zone }) => lease.right() !== undefined
+      || (held !== undefined && (zone === cfg.zone || selector.ownTokens(id) > 0))),
   });
 
   const stalls = createStallWatch({
@@ -271,8 +277,6 @@
     async stop(hurry) {
       stoppingAt = clock.now();
       log.info({ inFlight: runs.size }, 'stopping');
-      controller.close();
-      lease.close();
       const whole = await drain({
         clock,
         noticeMs: stopNoticeMs,
@@ -281,6 +285,11 @@
         idle: () => server?.active === 0,
       });
       [...runs].forEach((started) => started.interrupt());
+      // Until here it keeps the placement in order, as long as no other entry can.
+      controller.close();
+      await Promise.race([lease.release(), new Promise((resolve) => {
+        clock.after(releaseTimeoutMs, () => resolve(undefined));
+      })]);
       followers.forEach((follower) => follower.close());
       probes.forEach((probe) => probe.close());
       server?.destroy();
--- a/packages/gateway/src/placement/controller.ts
+++ b/packages/gateway/src/placement/controller.ts
@@ -151,8 +151,8 @@
       queued.clear();
       return;
     }
-    const isGone = (id: string) => targets.byId(id)?.draining ?? true;
-    [...queued.keys()].filter(isGone).forEach((id) => queued.delete(id));
+    const isUnfit = (id: string) => (targets.byId(id)?.draining ?? true) || deps.isDead(id);
+    [...queued.keys()].filter(isUnfit).forEach((id) => queued.delete(id));
     pending.forEach((expected, id) => {
       const target = targets.byId(id);
       if (!target || target.draining) pending.delete(id);
--- a/packages/gateway/src/store/lease-keeper.ts
+++ b/packages/gateway/src/store/lease-keeper.ts
@@ -46,6 +46,8 @@
   entries(): number;
   /** A target refused an order, since another entry has given one with a higher token. */
   fenced(token: number): void;
+  /** Lets another entry take over at once; resolves when that is written or can't be. */
+  release(): Promise<void>;
   close(): void;
 }
 
@@ -142,6 +144,11 @@
   }
   run();
 
+  function close() {
+    isClosed = true;
+    cancel();
+  }
+
   return {
     right() {
       const isOrphaned = clock.now() - heardAt > leaseTtlMs;
@@ -153,9 +160,23 @@
       highestFenced = Math.max(highestFenced, token);
       if (held && held.token <= highestFenced) lose('fenced');
     },
-    close() {
-      isClosed = true;
-      cancel();
+    async release() {
+      close();
+      if (!held) return;
+      const record = { ...held, until: clock.now() + clockOffset };
+      held = undefined;
+      try {
+        await store.write({
+          expect: [{ table, key: leaseKey, version }],
+          put: [{ table, key: leaseKey, value: encode(record) }],
+        });
+        log.info({ token: record.token }, 'lease released');
+      } catch (err) {
+        // It lapses by itself; another entry may have it by now.
+        const error = BaseError.normalize(err);
+        log.info({ code: errorCode(error), err: error.message }, 'lease not released');
+      }
     },
+    close,
   };
 }
--- a/test/gateway/streams.test.ts
+++ b/test/gateway/streams.test.ts
@@ -131,3 +131,11 @@
     .toEqual([{ from: 0, to: 4, version: 1 }, { from: 4, to: 8, version: 1 }]);
   await expect.poll(async () => (await it.stream()).status, { timeout: 5000 }).toBe(200);
 });
+
+test('an empty target that is dead holds up no hole', async () => {
+  const it = await begin({ pool: [[0, 4], [0, 0], [0, 0]], engine: { events } });
+  const [, dead, sound] = it.pool;
+  await dead!.close();
+  await expect.poll(() => sound!.held, { timeout: 12_000 }).toMatchObject({ from: 4, to: 8 });
+  await expect.poll(async () => (await it.stream()).status, { timeout: 5000 }).toBe(200);
+});
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -162,6 +162,27 @@
   expect(performance.now() - startedAt).toBeLessThan(1500);
 });
 
+test('released: free at once, under a higher token for the next', async () => {
+  const a = keep('a');
+  await settled(() => expect(a.right()?.token).toBe(1));
+  await a.release();
+  expect(a.right()).toBeUndefined();
+  const startedAt = performance.now();
+  const b = keep('b');
+  await settled(() => expect(b.right()?.token).toBe(2));
+  expect(performance.now() - startedAt).toBeLessThan(1500);
+});
+
+test('released while the store is out of reach: it lapses by itself', async () => {
+  const a = keep('a');
+  await settled(() => expect(a.right()?.token).toBe(1));
+  store.fault = 'busy';
+  await a.release();
+  store.fault = 'none';
+  const b = keep('b');
+  await settled(() => expect(b.right()?.token).toBe(2));
+});
+
 test('fenced: no more orders under that token', async () => {
   const a = keep('a');
   await settled(() => expect(a.right()?.token).toBe(1));
