--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -2,16 +2,17 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Logger } from 'pino';
 import {
-  afterAttempt, BaseError, createEventOrder, createRefusal, mayRepeat, newLife, stepAfter,
+  afterAttempt, createEventOrder, createRefusal, mayRepeat, newLife, stepAfter,
   type AttemptEnd, type CancelTimer, type Clock, type LifeStep, type RefusalCode,
   type RetryWindow, type StreamEvent,
 } from '@verbenashunt/core';
-import { exchangeOnce } from '@verbenashunt/wire';
+import { chooseOnTime } from '../routing/admission.js';
 import type { Choice, Selector } from '../routing/selector.js';
 import {
   startAttempt, type Attempt, type AttemptDeps, type AttemptFailure,
 } from './attempt.js';
 import type { StreamProgress, TargetProgress } from './progress.js';
+import { createRerouter } from './reroute.js';
 import type { ResumeQueue } from './resume-queue.js';
 import type { StallWatch } from './stall-watch.js';
 import { createStreamTiming } from './stream-timing.js';
@@ -46,12 +47,6 @@
 /** Time over which the return of refused callers is spread, in milliseconds. */
 const busySpreadMs = 2000;
 
-/** Time from the notice that a target leaves until streams are moved away from it, at the least. */
-const moveAfterMs = 600;
-/** Time over which streams are moved away, so that not all are read anew at once. */
-const moveSpreadMs = 900;
-/** Time for a target to answer the order to send a request over another chain. */
-const repathTimeoutMs = 500;
 /** Silence between events, as a share of the longest pause that is on time, that is looked into. */
 const quietShare = 0.9;
 /** Silence before the first event, as a share of the objective, that is looked into. */
@@ -74,9 +69,6 @@
   let cancelExpiry: CancelTimer = () => {};
   let cancelWatch = () => {};
   let isOver = false;
-  let isRerouting = false;
-  /** When this stream is to be moved away from a target that leaves. */
-  let moveAt: number | undefined;
   let heardAt = spec.arrivedAt;
   /** The attempt among the streams at its target; undefined for a call that is no stream. */
   let progress: StreamProgress | undefined;
@@ -230,51 +222,19 @@
       && selector.hasRoom(spec, other) && deps.retries.has(life.delivered);
   }
 
-  /**
-   * Sends the rest of the stream round a target. All tokens so far have to pass to the new stage;
-   * where they would fill the pipe between zones, another chain reads them anew.
-   */
-  async function reroute(culprit: string | undefined, address: string, reason: string) {
-    if (culprit !== undefined) avoid.add(culprit);
-    const from = choice!;
-    const next = culprit === from.target.id ? undefined : selector.reroute(spec, from, avoid);
-    if ((!next || !selector.isInZone(next)) && canResume(avoid)) {
-      abandon(`${reason} and its zone has no other`, address);
-      return;
-    }
-    if (!next) return;
-    const { status } = await exchangeOnce(
-      deps.exchanger,
-      next.target.address,
-      deps.protocol.repathRequest(next.target, spec.caller.id, next.chain!, undefined),
-      repathTimeoutMs,
-    );
-    const result = deps.protocol.orderResult(status);
-    log.info({
-      req: spec.caller.id, culprit, reason, status, result, last: order.last,
-    }, 'stream rerouted');
-    if (isOver || choice !== from || (result !== 'begun' && result !== 'done')) return;
-    choice = next;
-    release();
-    release = selector.hold(choice, spec);
-    heardAt = clock.now();
-  }
-
-  function startReroute(culprit: string | undefined, address: string, reason: string) {
-    if (isRerouting) return;
-    isRerouting = true;
-    reroute(culprit, address, reason).catch((err) => {
-      log.info({ req: spec.caller.id, err: BaseError.normalize(err).message }, 'stream not rerouted');
-    }).finally(() => {
-      isRerouting = false;
-    });
-  }
-
-  function stalledBy(address: string) {
-    const culprit = selector.idAt(spec.service, address);
-    if (culprit !== undefined) selector.failed(culprit);
-    startReroute(culprit, address, 'a stage is dead');
-  }
+  const rerouter = createRerouter({
+    spec,
+    avoid,
+    choice: () => (attempt && !isOver ? choice : undefined),
+    canResume,
+    abandon,
+    moved(next) {
+      choice = next;
+      release();
+      release = selector.hold(next, spec);
+      heardAt = clock.now();
+    },
+  }, deps);
 
   /** Resumes a stream that its first target has dropped without a word. */
   function silentFor(ms: number) {
@@ -286,20 +246,6 @@
     abandon(isDropped ? 'silent while others began' : 'silent without a reason', undefined);
   }
 
-  /** Moves the stream away from a target that will be gone before long. */
-  function moveIfLeaving() {
-    const leaving = choice!.chain && selector.leaving(choice!);
-    if (!leaving) {
-      moveAt = undefined;
-      return;
-    }
-    const now = clock.now();
-    moveAt ??= now + moveAfterMs + deps.random() * moveSpreadMs;
-    if (now < moveAt) return;
-    moveAt = Infinity;
-    startReroute(leaving.id, leaving.address, 'a stage is leaving');
-  }
-
   function event(next: StreamEvent, headers: IncomingHttpHeaders) {
     const verdict = order.accept(next);
     if (verdict === 'repeated') return;
@@ -317,7 +263,7 @@
     writer ??= sink.open(200, headers);
     life = { ...life, delivered: true };
     writer.write(next.bytes.toString('latin1'));
-    moveIfLeaving();
+    rerouter.moveIfLeaving();
   }
 
   function watch() {
@@ -329,7 +275,7 @@
       target: choice!.target,
       quietSince: () => heardAt,
       maxQuietMs: life.delivered ? quietShare * maxPauseMs : firstQuietShare * objectiveMs,
-      stalledBy,
+      stalledBy: rerouter.stalledBy,
       silentFor,
       lost() {
         selector.failed(choice!.target.id);
@@ -351,25 +297,13 @@
     });
   }
 
-  /**
-   * Another choice inside one zone where the first would be late; undefined when all would. One
-   * more stream at a loaded target makes all others there late too.
-   */
-  function chooseOnTime(first: Choice, late = avoid): Choice | undefined {
-    const isOnTime = deps.progress.isOnTime(first.target.id, clock.now(), spec.route);
-    if (!spec.service.engine || isOnTime) return first;
-    const without = new Set([...late, first.target.id]);
-    const other = selector.choose(spec, without);
-    return other && selector.isInZone(other) ? chooseOnTime(other, without) : undefined;
-  }
-
   function begin() {
     choice = selector.choose(spec, avoid);
     if (!choice) {
       giveUp(spec.service.engine ? 'no_chain' : 'no_target', 'no target');
       return;
     }
-    if (life.ran + life.missed === 0) choice = chooseOnTime(choice);
+    if (life.ran + life.missed === 0) choice = chooseOnTime(spec, choice, deps);
     if (!choice) {
       giveUp('overloaded', 'no chain is on time');
       return;
--- /dev/null
+++ b/packages/gateway/src/routing/admission.ts
@@ -0,0 +1,33 @@
+/**
+ * Decides where a new stream may go, by what running ones tell of their targets. One more stream at
+ * a loaded target makes all others there late too.
+ */
+import type { Clock } from '@verbenashunt/core';
+import type { TargetProgress } from '../requests/progress.js';
+import type { RequestSpec } from '../requests/spec.js';
+import type { Choice, Selector } from './selector.js';
+
+export interface AdmissionDeps {
+  clock: Clock;
+  selector: Selector;
+  progress: TargetProgress;
+}
+
+/**
+ * The first choice if streams are on time there, else another one inside one zone; undefined when
+ * all would be late.
+ */
+export function chooseOnTime(
+  spec: RequestSpec,
+  first: Choice,
+  { clock, selector, progress }: AdmissionDeps,
+  late: ReadonlySet<string> = new Set(),
+): Choice | undefined {
+  const isOnTime = progress.isOnTime(first.target.id, clock.now(), spec.route);
+  if (!spec.service.engine || isOnTime) return first;
+  const without = new Set([...late, first.target.id]);
+  const other = selector.choose(spec, without);
+  return other && selector.isInZone(other)
+    ? chooseOnTime(spec, other, { clock, selector, progress }, without)
+    : undefined;
+}
