Bound the log of requests, and tell a request's story from logs

Calls that were answered and callers that left had no line; the volume of lines grew with the load; nothing joined the entries' logs.

Every line names its process. `verbenashunt explain ID LOGS...` prints a request's lines, those of the targets that it met in the ten seconds before, and what its process believed.

--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -2,6 +2,7 @@
 import { Builtins, Cli } from 'clipanion';
 import { AgentCommand, EntryCommand } from './commands/daemon.js';
 import { ApplyCommand, CheckCommand, PlanCommand } from './commands/declarations.js';
+import { ExplainCommand } from './commands/explain.js';
 import { CommandCommand, HistoryCommand, ShowCommand } from './commands/history.js';
 import { QueryCommand } from './commands/query.js';
 import { QuarantineCommand, QuarantineReleaseCommand } from './commands/quarantine.js';
@@ -17,7 +18,7 @@
   [
     EntryCommand, AgentCommand, CheckCommand, PlanCommand, ApplyCommand, HistoryCommand,
     ShowCommand, CommandCommand, StateCommand, DrainCommand, UndrainCommand, PinCommand,
-    ReleaseCommand, QueryCommand, QuarantineCommand, QuarantineReleaseCommand,
+    ReleaseCommand, QueryCommand, ExplainCommand, QuarantineCommand, QuarantineReleaseCommand,
     Builtins.HelpCommand, Builtins.VersionCommand,
   ].forEach((command) => cli.register(command));
   return cli;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -28,3 +28,4 @@
 export * from './query/query.js';
 export * from './query/why.js';
 export * from './serving/index.js';
+export * from './logs/story.js';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
 import { createPlacementController } from './placement/controller.js';
 import type { CallerRequest, PlatformPorts, StoredRow } from './ports.js';
 import { createTargetProgress } from './requests/progress.js';
+import { createRequestLog } from './requests/request-log.js';
 import { startRun } from './requests/run.js';
 import { createServiceStates } from './requests/service-states.js';
 import { specOf } from './requests/spec-of.js';
@@ -80,9 +81,9 @@
   || headers['content-length'] !== undefined;
 
 export async function createGateway(cfg: GatewayOptions, deps: GatewayDeps): Promise<Gateway> {
-  const {
-    log, ports, clock = new SystemClock(), random = Math.random,
-  } = deps;
+  const { ports, clock = new SystemClock(), random = Math.random } = deps;
+  const log = deps.log.child({ node: cfg.node });
+  const requestLog = createRequestLog({ log, clock });
   const { store, rows, callers } = ports;
   const events = new Emittery<GatewayEvents>();
   const metrics = createGatewayMetrics();
@@ -163,7 +164,11 @@
       onChanges: (list) => list.forEach((row) => {
         const target: ServingTarget | undefined = decoded(row, rows.decodeTarget);
         log.info({
-          target: row.key, draining: target?.draining, held: target?.held, gone: !target,
+          target: row.key,
+          address: target?.address,
+          draining: target?.draining,
+          held: target?.held,
+          gone: !target,
         }, 'target changed');
         if (target) rowChangedAt.set(row.key, clock.now());
         else rowChangedAt.delete(row.key);
@@ -193,7 +198,7 @@
     const started = startRun(spec, sink, {
       clock,
       random,
-      log,
+      log: requestLog,
       selector,
       stalls,
       progress,
@@ -238,7 +243,10 @@
       // The rest of a body that nobody reads must not be taken for the next request.
       if (!req.complete) res.shouldKeepAlive = false;
       const refusal = err instanceof RefusalError ? err : createRefusal('internal');
-      log.info({ req: caller?.id, code: refusal.code, reason: BaseError.normalize(err).message }, 'request refused');
+      const reason = BaseError.normalize(err).message;
+      requestLog.info({
+        req: caller?.id, code: refusal.code, reason, version: config.view?.config.version,
+      }, 'request refused');
       metrics.requests.inc({ kind: 'none', outcome: refusal.code });
       if (!res.headersSent) callers.refuse(res, refusal, caller?.id);
     }
@@ -263,7 +271,7 @@
       },
     }));
   }
-  log.info({ node: cfg.node, zone: cfg.zone, front: cfg.front }, 'gateway started');
+  log.info({ zone: cfg.zone, front: cfg.front }, 'gateway started');
 
   return {
     events,
@@ -293,6 +301,7 @@
       followers.forEach((follower) => follower.close());
       probes.forEach((probe) => probe.close());
       server?.destroy();
+      requestLog.close();
       stalls.close();
       load.close();
       exchanger.close();
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,3 +6,4 @@
 export * from './requests/resume-queue.js';
 export * from './requests/stop-window.js';
 export * from './requests/progress.js';
+export * from './requests/request-log.js';
--- a/packages/gateway/src/requests/reroute.ts
+++ b/packages/gateway/src/requests/reroute.ts
@@ -1,9 +1,9 @@
 /** Sends the rest of a running stream round a stage that is dead or leaves. */
-import type { Logger } from 'pino';
 import { BaseError, type Clock } from '@verbenashunt/core';
 import { exchangeOnce } from '@verbenashunt/wire';
 import type { Choice, Selector } from '../routing/selector.js';
 import type { AttemptDeps } from './attempt.js';
+import type { RequestLog } from './request-log.js';
 import type { RequestSpec } from './spec.js';
 
 /** A stream as far as rerouting touches it. */
@@ -24,7 +24,7 @@
 export interface RerouteDeps extends AttemptDeps {
   clock: Clock;
   random: () => number;
-  log: Logger;
+  log: RequestLog;
   selector: Selector;
 }
 
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -1,6 +1,5 @@
 /** Carries one request to its answer: attempts, retries, resumed streams, expiry. */
 import type { IncomingHttpHeaders } from 'node:http';
-import type { Logger } from 'pino';
 import {
   afterAttempt, createEventOrder, createRefusal, mayRepeat, newLife, stepAfter,
   type AttemptEnd, type CancelTimer, type Clock, type LifeStep, type RefusalCode,
@@ -12,6 +11,7 @@
   startAttempt, type Attempt, type AttemptDeps, type AttemptFailure,
 } from './attempt.js';
 import type { StreamProgress, TargetProgress } from './progress.js';
+import type { RequestLog } from './request-log.js';
 import { createRerouter } from './reroute.js';
 import type { ResumeQueue } from './resume-queue.js';
 import type { StallWatch } from './stall-watch.js';
@@ -23,7 +23,7 @@
 export interface RunDeps extends AttemptDeps {
   clock: Clock;
   random: () => number;
-  log: Logger;
+  log: RequestLog;
   selector: Selector;
   stalls: StallWatch;
   progress: TargetProgress;
@@ -90,7 +90,13 @@
   function refuse(code: RefusalCode, ran: 'no' | 'unknown', reason: string) {
     const { id } = spec.caller;
     log.info({
-      req: id, code, ran, reason, attempts: life.ran + life.missed, route: spec.route.name,
+      req: id,
+      code,
+      ran,
+      reason,
+      attempts: life.ran + life.missed,
+      route: spec.route.name,
+      version: spec.version,
     }, 'request refused');
     close(code);
     const retryAfterMs = Math.round(busyRetryMs + busySpreadMs * deps.random());
@@ -103,6 +109,10 @@
       close('cut');
       sink.cut();
     } else if (step.do === 'relay') {
+      const { status } = failure.answer!;
+      log.info({
+        req: spec.caller.id, target: choice!.target.id, status, attempts: life.ran + life.missed,
+      }, 'failure passed on');
       close('relayed');
       sink.whole(failure.answer!);
     } else if (step.do === 'refuse') {
@@ -183,7 +193,15 @@
 
   function answered(answer: WholeAnswer) {
     choice!.parts.forEach(({ id }) => selector.health.succeeded(id));
-    deps.answerBegun(clock.now() - spec.arrivedAt);
+    const ms = clock.now() - spec.arrivedAt;
+    deps.answerBegun(ms);
+    log.info({
+      req: spec.caller.id,
+      target: choice!.target.id,
+      status: answer.status,
+      attempts: life.ran + life.missed + 1,
+      ms: Math.round(ms),
+    }, 'request answered');
     close('answered');
     sink.whole(answer);
   }
@@ -336,7 +354,14 @@
 
   return {
     cancel() {
-      if (!isOver) close('left');
+      if (isOver) return;
+      log.info({
+        req: spec.caller.id,
+        target: choice?.target.id,
+        last: order.last,
+        ms: Math.round(clock.now() - spec.arrivedAt),
+      }, 'caller left');
+      close('left');
     },
     interrupt: () => giveUp('stopping', 'the entry stopped'),
   };
--- a/packages/gateway/src/requests/spec-of.ts
+++ b/packages/gateway/src/requests/spec-of.ts
@@ -33,6 +33,7 @@
   const { prompt = 0, answer = 1 } = service.engine?.usual ?? {};
   return {
     caller,
+    version: view.config.version,
     route,
     service,
     organisation,
--- a/packages/gateway/src/requests/spec.ts
+++ b/packages/gateway/src/requests/spec.ts
@@ -8,6 +8,8 @@
 export interface RequestSpec extends LifeSpec {
   caller: CallerRequest;
   body: Buffer | undefined;
+  /** Version of the configuration that the request was read under. */
+  version: number;
   route: ServingRoute;
   service: ServingService;
   organisation: string | undefined;
