Keep an engine's sequences when a poll's connection breaks

Cause: the finding "1 of 269 tests failed beside busy processes". It is 'a stream that is cut again and again': a cut that meets a status poll (every 500 ms, and one after each cut) failed the poll, the agent took the engine for dead and gave its sequences up, though the engine kept the session for 2 s. On an idle machine polls take a millisecond; beside load they overlap the cuts.

Ruled out: the test's own time-out; it waits 20 s for what takes 0.5 s.

--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,5 +1,6 @@
 /** The agent daemon as a library. */
 export * from './agent.js';
+export * from './targets/engine-target.js';
 export * from './stages/stage-table.js';
 export * from './calls/call-table.js';
 export * from './peers/entries.js';
--- a/packages/agent/src/targets/engine-target.ts
+++ b/packages/agent/src/targets/engine-target.ts
@@ -12,6 +12,10 @@
 const statusNotFound = 404;
 const statusPollMs = 500;
 const reopenMs = 200;
+/** Polls in a row that fail at once before an engine that was up counts as down. */
+const maxQuickFailures = 2;
+/** A poll that fails later than this met a silent engine, not a connection that broke. */
+const quickMs = 500;
 
 export interface EngineHandlers {
   onOutput(out: EngineOut): void;
@@ -52,6 +56,7 @@
   let up = false;
   let closed = false;
   let polling = false;
+  let quickFailures = 0;
   let cancelPoll = () => {};
 
   async function status(): Promise<EngineStatus> {
@@ -103,7 +108,10 @@
     // The reader passes on the errors of its input.
     lines.on('error', lost);
     lines.on('close', lost);
-    if (statusCode === statusNotFound) throw new TargetError('the engine ended the session');
+    if (statusCode === statusNotFound) {
+      down(new TargetError('the engine ended the session'));
+      return;
+    }
     ops = input;
     pending.list().forEach((op) => input.write(`${JSON.stringify(op)}\n`));
   }
@@ -115,19 +123,35 @@
   }
   /* eslint-enable @typescript-eslint/no-use-before-define */
 
+  function tell(found: EngineStatus) {
+    if (up) {
+      handlers.onStatus(found);
+      return;
+    }
+    up = true;
+    handlers.onUp(found);
+  }
+
+  /**
+   * A connection that breaks may take the poll with it; the engine still has the session then, and
+   * answers the next one.
+   */
+  function pollFailed(err: Error, tookMs: number) {
+    quickFailures = tookMs < quickMs ? quickFailures + 1 : maxQuickFailures;
+    if (quickFailures >= maxQuickFailures) down(err);
+  }
+
   async function poll() {
     polling = true;
+    const startedAt = clock.now();
     try {
       const found = await status();
       if (!ops) await open();
-      if (up) {
-        handlers.onStatus(found);
-      } else {
-        up = true;
-        handlers.onUp(found);
-      }
+      quickFailures = 0;
+      // Without a stream, the engine has ended the session; the next poll opens another.
+      if (ops) tell(found);
     } catch (err) {
-      down(err as Error);
+      pollFailed(err as Error, clock.now() - startedAt);
     }
     polling = false;
     const isCutOff = up && !ops;
