Take no lease while stopping; tell operators the way from a request to its cause

An entry in its last 25 ms took the lapsed lease and gave it back; the next one lost time and a token.

Test: 'one that leaves takes no lease, and keeps the one that it holds'.

--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -8,8 +8,8 @@
 import { exitCodes } from './remote.js';
 
 async function readLog(path: string): Promise<LogRecord[]> {
-  const text = await readFile(path, 'utf8').catch((err) => {
-    throw new SettingsError(`${path} can't be read`, { cause: err });
+  const text = await readFile(path, 'utf8').catch((err: Error) => {
+    throw new SettingsError(err.message);
   });
   return text.split('\n').flatMap((line) => parseLogLine(line, basename(path, '.log')) ?? []);
 }
@@ -29,6 +29,16 @@
   logs = Option.Rest({ name: 'logs', required: 1 });
 
   async execute() {
+    try {
+      return await this.explain();
+    } catch (err) {
+      if (!(err instanceof SettingsError)) throw err;
+      this.context.stderr.write(`${err.message}\n`);
+      return exitCodes.usage;
+    }
+  }
+
+  private async explain() {
     const logs = await Promise.all(this.logs.map(readLog));
     const story = storyOf(this.request, logs.flat());
     if (story.length === 0) {
--- a/packages/core/src/logs/story.ts
+++ b/packages/core/src/logs/story.ts
@@ -75,7 +75,9 @@
 export function formatStoryLine({
   time, node, msg, fields,
 }: LogRecord): string {
-  const rest = Object.entries(fields)
-    .map(([name, value]) => `${name}=${typeof value === 'string' ? value : JSON.stringify(value)}`);
+  const textOf = (value: unknown) => (typeof value === 'string'
+    ? value.replaceAll('\n', '; ')
+    : JSON.stringify(value));
+  const rest = Object.entries(fields).map(([name, value]) => `${name}=${textOf(value)}`);
   return [new Date(time).toISOString().slice(11, 23), node, msg, ...rest].join('  ');
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -285,6 +285,7 @@
     async stop(hurry) {
       stoppingAt = clock.now();
       log.info({ inFlight: runs.size }, 'stopping');
+      lease.leave();
       const whole = await drain({
         clock,
         noticeMs: stopNoticeMs,
--- a/packages/gateway/src/store/lease-keeper.ts
+++ b/packages/gateway/src/store/lease-keeper.ts
@@ -46,6 +46,8 @@
   entries(): number;
   /** A target refused an order, since another entry has given one with a higher token. */
   fenced(token: number): void;
+  /** Takes no lease from now on; one that is held is kept. */
+  leave(): void;
   /** Lets another entry take over at once; resolves when that is written or can't be. */
   release(): Promise<void>;
   close(): void;
@@ -71,6 +73,7 @@
   /** Newest token read or written. */
   let seenToken = 0;
   let heardAt = clock.now();
+  let isLeaving = false;
   let isClosed = false;
   let cancel = () => {};
 
@@ -115,8 +118,10 @@
     heard(current?.token ?? 0);
     if (held && current?.token !== held.token) lose('another entry holds it');
     const next = nextLease(current, node, state.now, held?.token);
-    if (next) return write(next);
-    return Math.min(maxReadMs, current!.until - state.now + expiryMarginMs + random() * retryMs);
+    if (next && (held || !isLeaving)) return write(next);
+    if (!current) return maxReadMs;
+    const lapsesInMs = Math.max(0, current.until - state.now);
+    return Math.min(maxReadMs, lapsesInMs + expiryMarginMs + random() * retryMs);
   }
 
   async function step(): Promise<number> {
@@ -160,6 +165,9 @@
       highestFenced = Math.max(highestFenced, token);
       if (held && held.token <= highestFenced) lose('fenced');
     },
+    leave() {
+      isLeaving = true;
+    },
     async release() {
       close();
       if (!held) return;
--- a/test/operators/story.test.ts
+++ b/test/operators/story.test.ts
@@ -33,6 +33,8 @@
     'a stopping', 'b target is dead', 'a attempt failed', 'a request refused',
   ]);
   expect(formatStoryLine(story[1]!)).toBe('00:00:19.000  b  target is dead  target=t2');
+  expect(formatStoryLine({ ...story[1]!, fields: { err: 'reset\nGET /x', n: 1 } }))
+    .toBe('00:00:19.000  b  target is dead  err=reset; GET /x  n=1');
 });
 
 test('an id that no line names', () => {
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -173,6 +173,22 @@
   expect(performance.now() - startedAt).toBeLessThan(1500);
 });
 
+test('one that leaves takes no lease, and keeps the one that it holds', async () => {
+  const a = keep('a');
+  await settled(() => expect(a.right()?.token).toBe(1));
+  const b = keep('b');
+  b.leave();
+  a.leave();
+  const firstEnd = (store.read('verbenashunt', 'lease') as { until: number }).until;
+  await settled(() => expect(store.read('verbenashunt', 'lease')).toMatchObject({ holder: 'a', token: 1 }));
+  await settled(() => expect((store.read('verbenashunt', 'lease') as { until: number }).until)
+    .toBeGreaterThan(firstEnd));
+  await a.release();
+  const c = keep('c');
+  await settled(() => expect(c.right()?.token).toBe(2));
+  expect(b.right()).toBeUndefined();
+});
+
 test('released while the store is out of reach: it lapses by itself', async () => {
   const a = keep('a');
   await settled(() => expect(a.right()?.token).toBe(1));
