--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -184,9 +184,14 @@
   await settled(() => expect((store.read('verbenashunt', 'lease') as { until: number }).until)
     .toBeGreaterThan(firstEnd));
   await a.release();
+  // The other one's next read finds the lease free.
+  const reads = () => store.calls.get('/api/rows-get') ?? 0;
+  const readsBefore = reads();
+  await settled(() => expect(reads()).toBeGreaterThan(readsBefore));
   const c = keep('c');
   await settled(() => expect(c.right()?.token).toBe(2));
   expect(b.right()).toBeUndefined();
+  expect(store.read('verbenashunt', 'lease')).toMatchObject({ holder: 'c', token: 2 });
 });
 
 test('released while the store is out of reach: it lapses by itself', async () => {
