Count the end of an attempt once

Cause: seen on reading the change again. A run told the end of an attempt twice when the attempt failed and the request then ended (refused, cut, relayed, or left while it waited for a chain): the requests and tokens in flight at its targets were taken off twice, and so others' at the same target were not counted. Entries then thought loaded targets emptier than they are.

Change: what `hold` returns ends the count once. This is a fault mended, not a tidying: choices under load can differ.

Test: test/gateway/selector failed before (0 tokens instead of 70).

--- a/packages/gateway/src/routing/selector.ts
+++ b/packages/gateway/src/routing/selector.ts
@@ -128,17 +128,22 @@
       .find(({ id }) => targets.byId(id)?.draining ?? true),
     /** Whether a chain of a choice stays inside the zone of its first target. */
     isInZone: ({ target, parts }: Choice) => parts.every((part) => part.zone === target.zone),
-    /** Counts an attempt in flight; returns the function that ends the count. */
+    /** Counts an attempt in flight; returns the function that ends the count, once. */
     hold({ parts }: Choice, { size }: RequestSpec): () => void {
       const cost = size.promptTokens + size.answerTokens;
+      let isHeld = true;
       parts.forEach(({ id }) => {
         add(active, id, 1);
         add(tokens, id, cost);
       });
-      return () => parts.forEach(({ id }) => {
-        add(active, id, -1);
-        add(tokens, id, -cost);
-      });
+      return () => {
+        if (!isHeld) return;
+        isHeld = false;
+        parts.forEach(({ id }) => {
+          add(active, id, -1);
+          add(tokens, id, -cost);
+        });
+      };
     },
     /** Id of the target at an address, where it is known. */
     idAt: (service: ServingService, address: string) => targets.ofService(service.name)
