Choose once for a retry, and end an attempt and an answer in one place

A retry asked for a chain up to three times (whether there is one, whether the cleared list gives one, and again as it began); the choice is now handed on. What a decision to try again rests on was worked out twice for each failure. 'answer cut off' was logged and carried out in two places, an attempt was ended in two and given up in three; each is one function.

--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -5,7 +5,7 @@
   type AttemptEnd, type CancelTimer, type Clock, type LifeStep, type RefusalCode,
   type RetryWindow, type StreamEvent,
 } from '@verbenashunt/core';
-import { chooseOnTime } from '../routing/admission.js';
+import { chooseOnTime, retryAfterOf } from '../routing/admission.js';
 import type { Choice, Selector } from '../routing/selector.js';
 import {
   startAttempt, type Attempt, type AttemptDeps, type AttemptFailure,
@@ -14,6 +14,7 @@
 import type { RequestLog } from './request-log.js';
 import { createRerouter } from './reroute.js';
 import type { ResumeQueue } from './resume-queue.js';
+import { muteLimitMs, quietLimitMs } from './silence.js';
 import type { StallWatch } from './stall-watch.js';
 import { createStreamTiming } from './stream-timing.js';
 import type {
@@ -42,19 +43,6 @@
 const minTimeMs = 20;
 /** Objectives that a call which may be repeated waits for one target. */
 const tryObjectives = 3;
-/** Least wait that a caller is told when targets are busy, in milliseconds. */
-const busyRetryMs = 1000;
-/** Time over which the return of refused callers is spread, in milliseconds. */
-const busySpreadMs = 2000;
-
-/** Silence between events, as a share of the longest pause that is on time, that is looked into. */
-const quietShare = 0.9;
-/** Silence before the first event, as a share of the objective, that is looked into. */
-const firstQuietShare = 0.5;
-/** Longest pauses on time after which a stream that is silent without a reason is resumed. */
-const mutePauses = 5;
-/** The same before the first event, in objectives; callers wait four of them or longer. */
-const muteObjectives = 3;
 
 export function startRun(spec: RequestSpec, sink: AnswerSink, deps: RunDeps): RequestRun {
   const { clock, log, selector } = deps;
@@ -76,17 +64,29 @@
 
   const timeLeftMs = () => spec.expiresAt - clock.now();
 
-  function close(outcome: string) {
-    isOver = true;
+  const attempts = () => life.ran + life.missed;
+
+  function endAttempt() {
     cancelTry();
     cancelWatch();
-    cancelExpiry();
     attempt?.abort();
     release();
     progress?.end();
+  }
+
+  function close(outcome: string) {
+    isOver = true;
+    cancelExpiry();
+    endAttempt();
     deps.closed(outcome);
   }
 
+  function cut(reason: string) {
+    log.info({ req: spec.caller.id, reason, last: order.last }, 'answer cut off');
+    close('cut');
+    sink.cut();
+  }
+
   function refuse(code: RefusalCode, ran: 'no' | 'unknown', reason: string) {
     const { id } = spec.caller;
     log.info({
@@ -94,24 +94,23 @@
       code,
       ran,
       reason,
-      attempts: life.ran + life.missed,
+      attempts: attempts(),
       route: spec.route.name,
       version: spec.version,
     }, 'request refused');
     close(code);
-    const retryAfterMs = Math.round(busyRetryMs + busySpreadMs * deps.random());
-    sink.refuse(createRefusal(code, { ran, ...(ran === 'no' ? { retryAfterMs } : {}) }));
+    sink.refuse(createRefusal(code, {
+      ran, ...(ran === 'no' ? { retryAfterMs: retryAfterOf(deps.random()) } : {}),
+    }));
   }
 
   function finish(step: LifeStep, failure: AttemptFailure) {
     if (step.do === 'cut') {
-      log.info({ req: spec.caller.id, reason: failure.reason, last: order.last }, 'answer cut off');
-      close('cut');
-      sink.cut();
+      cut(failure.reason);
     } else if (step.do === 'relay') {
       const { status } = failure.answer!;
       log.info({
-        req: spec.caller.id, target: choice!.target.id, status, attempts: life.ran + life.missed,
+        req: spec.caller.id, target: choice!.target.id, status, attempts: attempts(),
       }, 'failure passed on');
       close('relayed');
       sink.whole(failure.answer!);
@@ -120,30 +119,24 @@
     }
   }
 
-  /** Whether time, targets and budget are left for another attempt. */
-  function takeRetry(end: AttemptEnd): boolean {
-    if (timeLeftMs() < minTimeMs || !selector.choose(spec, avoid)) return false;
+  /** Where another attempt goes; undefined when time, targets or budget are used up. */
+  function takeRetry(end: AttemptEnd): Choice | undefined {
+    const next = timeLeftMs() < minTimeMs ? undefined : selector.choose(spec, avoid);
     // Nothing arrived at a target, so nothing is charged for the next arrival.
-    return end === 'unsent' || deps.retries.withdraw(life.delivered);
+    return next && (end === 'unsent' || deps.retries.withdraw(false)) ? next : undefined;
   }
 
   /** Ends the request where it stands; `code` is for one that can't have run. */
   function giveUp(code: RefusalCode, reason: string) {
     if (isOver) return;
-    if (writer) {
-      log.info({ req: spec.caller.id, reason, last: order.last }, 'answer cut off');
-      close('cut');
-      sink.cut();
-    } else if (life.ran === 0 && !attempt?.isSent) refuse(code, 'no', reason);
+    if (writer) cut(reason);
+    else if (life.ran === 0 && !attempt?.isSent) refuse(code, 'no', reason);
     else refuse('outcome_unknown', 'unknown', reason);
   }
 
   /* eslint-disable @typescript-eslint/no-use-before-define -- a failure begins the next attempt */
   function failed(failure: AttemptFailure) {
-    release();
-    progress?.end();
-    cancelTry();
-    cancelWatch();
+    endAttempt();
     attempt = undefined;
     const { end, reason, blamed } = failure;
     deps.attemptFailed(end);
@@ -161,28 +154,27 @@
       else selector.erred(culprit);
     }
     life = afterAttempt(life, end);
-    if (canResumeLater(end)) {
+    const isWanted = stepAfter(spec, life, end, true).do === 'try';
+    // A begun stream may still find a chain; its caller has what was made so far.
+    if (isWanted && life.delivered && timeLeftMs() > minTimeMs) {
       if (end === 'not_run') deps.resumes.refused();
       resumeLater();
       return;
     }
-    const isWanted = stepAfter(spec, life, end, true).do === 'try';
-    const step = stepAfter(spec, life, end, isWanted && takeRetry(end));
-    if (step.do === 'try') begin();
-    else finish(step, failure);
-  }
-
-  /** Whether a begun stream may still find a chain; its caller has what was made so far. */
-  function canResumeLater(end: AttemptEnd): boolean {
-    return life.delivered && timeLeftMs() > minTimeMs
-      && stepAfter(spec, life, end, true).do === 'try';
+    const next = isWanted ? takeRetry(end) : undefined;
+    if (next) begin(next);
+    else finish(stepAfter(spec, life, end, false), failure);
   }
 
   /** Looks for a chain again at its turn; targets that had no room may have some by then. */
   function resumeLater() {
     cancelTry = deps.resumes.wait(() => {
-      if (!selector.choose(spec, avoid)) avoid.clear();
-      if (selector.choose(spec, avoid) && deps.retries.withdraw(true)) begin();
+      let next = selector.choose(spec, avoid);
+      if (!next) {
+        avoid.clear();
+        next = selector.choose(spec, avoid);
+      }
+      if (next && deps.retries.withdraw(true)) begin(next);
       else {
         deps.resumes.refused();
         resumeLater();
@@ -199,7 +191,7 @@
       req: spec.caller.id,
       target: choice!.target.id,
       status: answer.status,
-      attempts: life.ran + life.missed + 1,
+      attempts: attempts() + 1,
       ms: Math.round(ms),
     }, 'request answered');
     close('answered');
@@ -214,7 +206,7 @@
       target: choice!.target.id,
       stages: choice!.parts.length,
       zones: new Set(choice!.parts.map(({ zone }) => zone)).size,
-      attempts: life.ran + life.missed + 1,
+      attempts: attempts() + 1,
       ...timing.summary(),
       events: order.last,
     }, 'stream completed');
@@ -222,12 +214,11 @@
     writer.end('');
   }
 
-  /** Gives up an attempt whose chain is broken. */
-  function abandon(reason: string, blamed: string | undefined) {
+  /** Gives up an attempt that may go on elsewhere; `blamed` is the address of a target at fault. */
+  function abandon(reason: string, blamed?: string, end: AttemptEnd = 'unknown') {
     if (isOver || !attempt) return;
-    attempt.abort();
     failed({
-      end: 'unknown', reason, blamed, answer: undefined,
+      end, reason, blamed, answer: undefined,
     });
   }
 
@@ -256,22 +247,17 @@
 
   /** Resumes a stream that its first target has dropped without a word. */
   function silentFor(ms: number) {
-    const { maxPauseMs, objectiveMs } = spec.route;
-    const limitMs = life.delivered ? mutePauses * maxPauseMs : muteObjectives * objectiveMs;
     const isDropped = progress?.isDropped(clock.now()) ?? false;
-    if (ms < limitMs && !isDropped) return;
+    if (ms < muteLimitMs(spec.route, life.delivered) && !isDropped) return;
     if (!canResume(new Set([...avoid, choice!.target.id]))) return;
-    abandon(isDropped ? 'silent while others began' : 'silent without a reason', undefined);
+    abandon(isDropped ? 'silent while others began' : 'silent without a reason');
   }
 
   function event(next: StreamEvent, headers: IncomingHttpHeaders) {
     const verdict = order.accept(next);
     if (verdict === 'repeated') return;
     if (verdict === 'gap') {
-      attempt?.abort();
-      failed({
-        end: 'broken', reason: `event ${next.id} follows ${order.last}`, blamed: undefined, answer: undefined,
-      });
+      abandon(`event ${next.id} follows ${order.last}`, undefined, 'broken');
       return;
     }
     progress?.event(clock.now());
@@ -286,18 +272,17 @@
 
   function watch() {
     if (spec.kind !== 'stream' || !spec.service.engine) return;
-    const { objectiveMs, maxPauseMs } = spec.route;
     heardAt = clock.now();
     cancelWatch = deps.stalls.watch({
       requestId: spec.caller.id,
       target: choice!.target,
       quietSince: () => heardAt,
-      maxQuietMs: life.delivered ? quietShare * maxPauseMs : firstQuietShare * objectiveMs,
+      maxQuietMs: quietLimitMs(spec.route, life.delivered),
       stalledBy: rerouter.stalledBy,
       silentFor,
       lost() {
         selector.failed(choice!.target.id);
-        abandon('the first target gave no report', undefined);
+        abandon('the first target gave no report');
       },
     });
   }
@@ -307,25 +292,11 @@
     if (spec.kind !== 'idempotent' || life.ran + 1 >= spec.maxAttempts) return;
     const tryMs = tryObjectives * spec.route.objectiveMs;
     if (tryMs <= 0 || timeLeftMs() < 2 * tryMs) return;
-    cancelTry = clock.after(tryMs, () => {
-      attempt?.abort();
-      failed({
-        end: 'unknown', reason: `no answer in ${tryMs} ms`, blamed: undefined, answer: undefined,
-      });
-    });
+    cancelTry = clock.after(tryMs, () => abandon(`no answer in ${tryMs} ms`));
   }
 
-  function begin() {
-    choice = selector.choose(spec, avoid);
-    if (!choice) {
-      giveUp(spec.service.engine ? 'no_chain' : 'no_target', 'no target');
-      return;
-    }
-    if (life.ran + life.missed === 0) choice = chooseOnTime(spec, choice, deps);
-    if (!choice) {
-      giveUp('overloaded', 'no chain is on time');
-      return;
-    }
+  function begin(next: Choice) {
+    choice = next;
     release = selector.hold(choice, spec);
     boundTry();
     watch();
@@ -342,15 +313,26 @@
       lastEventId: order.last,
     }, {
       isStream: spec.kind === 'stream',
-      fresh: spec.kind !== 'idempotent' || life.ran + life.missed > 0,
+      fresh: spec.kind !== 'idempotent' || attempts() > 0,
     }, {
       answered, event, completed, failed,
     }, deps);
   }
 
+  function beginFirst() {
+    const first = selector.choose(spec, avoid);
+    if (!first) {
+      giveUp(spec.service.engine ? 'no_chain' : 'no_target', 'no target');
+      return;
+    }
+    const onTime = chooseOnTime(spec, first, deps);
+    if (onTime) begin(onTime);
+    else giveUp('overloaded', 'no chain is on time');
+  }
+
   cancelExpiry = clock.after(Math.max(0, timeLeftMs()), () => giveUp('overloaded', 'expired'));
   deps.retries.deposit();
-  begin();
+  beginFirst();
 
   return {
     cancel() {
--- a/packages/gateway/src/routing/admission.ts
+++ b/packages/gateway/src/routing/admission.ts
@@ -13,6 +13,14 @@
   progress: TargetProgress;
 }
 
+/** Least wait that a caller is told when targets are busy, in milliseconds. */
+const busyRetryMs = 1000;
+/** Time over which the return of refused callers is spread, in milliseconds. */
+const busySpreadMs = 2000;
+
+/** When a refused caller is to come back, in milliseconds; `share` in [0, 1) spreads them. */
+export const retryAfterOf = (share: number) => Math.round(busyRetryMs + busySpreadMs * share);
+
 /**
  * The first choice if streams are on time there, else another one inside one zone; undefined when
  * all would be late.
