Call the pieces that stand: guard, toRefusal, hasBody, and one for an error's fields

No change of behaviour, found on reading the change again. - `explain` had its own copy of `guard`, which prints a typed error and gives its exit code for every other command. - The gateway turned errors into refusals as the entry's `toRefusal` does; that lies with the refusals in core now, and both call it. The same for whether a request has a body, which lies with the reader of bodies. - Seven places normalised an error and took its code and message for a log line: `errorFields`.

--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -5,7 +5,7 @@
 import {
   formatStoryLine, parseLogLine, SettingsError, storyOf, type LogRecord,
 } from '@verbenashunt/core';
-import { exitCodes } from './remote.js';
+import { exitCodes, guard } from './remote.js';
 
 async function readLog(path: string): Promise<LogRecord[]> {
   const text = await readFile(path, 'utf8').catch((err: Error) => {
@@ -28,14 +28,8 @@
 
   logs = Option.Rest({ name: 'logs', required: 1 });
 
-  async execute() {
-    try {
-      return await this.explain();
-    } catch (err) {
-      if (!(err instanceof SettingsError)) throw err;
-      this.context.stderr.write(`${err.message}\n`);
-      return exitCodes.usage;
-    }
+  execute() {
+    return guard(this.context.stderr, () => this.explain());
   }
 
   private async explain() {
--- a/packages/core/src/errors/errors.ts
+++ b/packages/core/src/errors/errors.ts
@@ -77,5 +77,16 @@
   },
 });
 
+/** What a caller is told of any error: the refusal that it is, or that the entry failed. */
+export const toRefusal = (err: unknown): Refusal => (err instanceof RefusalError
+  ? err
+  : createRefusal('internal'));
+
 /** The code of an error of this system or of Node.js; `internal` where it has none. */
 export const errorCode = (err: Error): string => ('code' in err ? String(err.code) : 'internal');
+
+/** What a log line says of anything that was thrown. */
+export function errorFields(thrown: unknown): { code: string; err: string } {
+  const err = BaseError.normalize(thrown);
+  return { code: errorCode(err), err: err.message };
+}
--- a/packages/entry/src/http/answers.ts
+++ b/packages/entry/src/http/answers.ts
@@ -1,8 +1,6 @@
 /** Answers to callers. */
 import type { ServerResponse } from 'node:http';
-import {
-  createRefusal, refusalBody, RefusalError, type Refusal,
-} from '@verbenashunt/core';
+import { refusalBody, type Refusal } from '@verbenashunt/core';
 
 const millisecondsPerSecond = 1000;
 
@@ -11,10 +9,6 @@
   res.end(JSON.stringify(body));
 }
 
-export const toRefusal = (err: unknown): Refusal => (err instanceof RefusalError
-  ? err
-  : createRefusal('internal'));
-
 /** Sends a refusal; Retry-After is in whole seconds, never less than the time given. */
 export function sendRefusal(res: ServerResponse, refusal: Refusal, request?: string) {
   const { retryAfterMs } = refusal;
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -2,11 +2,11 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import restana from 'restana';
-import { createRefusal, type Clock } from '@verbenashunt/core';
+import { createRefusal, toRefusal, type Clock } from '@verbenashunt/core';
 import {
-  addHealthRoutes, createHttpListener, type HealthSource, type HttpBounds,
+  addHealthRoutes, createHttpListener, hasBody, type HealthSource, type HttpBounds,
 } from '@verbenashunt/wire';
-import { sendRefusal, toRefusal } from './answers.js';
+import { sendRefusal } from './answers.js';
 
 export type HttpHandler = (req: IncomingMessage, res: ServerResponse) => Promise<void>;
 
@@ -47,8 +47,7 @@
   cancel();
 }
 
-const isBodyUnread = ({ headers, complete }: IncomingMessage) => !complete
-  && ('content-length' in headers || 'transfer-encoding' in headers);
+const isBodyUnread = (req: IncomingMessage) => !req.complete && hasBody(req);
 
 export async function serveEntryHttp(
   options: EntryHttpOptions,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,10 +5,12 @@
 import type { Logger } from 'pino';
 import {
   BaseError, createRefusal, createServingConfigHolder, createTargetTable,
-  errorCode, RefusalError, sameRange, SystemClock,
+  errorFields, sameRange, SystemClock, toRefusal,
   type Clock, type RetryLimits, type ServingTarget,
 } from '@verbenashunt/core';
-import { createBodyReader, createExchanger, drain } from '@verbenashunt/wire';
+import {
+  createBodyReader, createExchanger, drain, hasBody,
+} from '@verbenashunt/wire';
 import {
   headerBytesOf, serveCallers, serveProbe, type Address, type CallerServer,
 } from './http/server.js';
@@ -77,9 +79,6 @@
 /** Time in which a stopping entry hands its lease over; the rest of the grace time must hold it. */
 const releaseTimeoutMs = 200;
 
-const hasBody = ({ headers }: IncomingMessage) => headers['transfer-encoding'] !== undefined
-  || headers['content-length'] !== undefined;
-
 export async function createGateway(cfg: GatewayOptions, deps: GatewayDeps): Promise<Gateway> {
   const { ports, clock = new SystemClock(), random = Math.random } = deps;
   const log = deps.log.child({ node: cfg.node });
@@ -144,8 +143,7 @@
     try {
       return decode(row);
     } catch (err) {
-      const error = BaseError.normalize(err);
-      log.warn({ key: row.key, code: errorCode(error), err: error.message }, 'row not understood');
+      log.warn({ key: row.key, ...errorFields(err) }, 'row not understood');
       return undefined;
     }
   }
@@ -240,7 +238,7 @@
     } catch (err) {
       // The rest of a body that nobody reads must not be taken for the next request.
       if (!req.complete) res.shouldKeepAlive = false;
-      const refusal = err instanceof RefusalError ? err : createRefusal('internal');
+      const refusal = toRefusal(err);
       const reason = BaseError.normalize(err).message;
       requestLog.info({
         req: caller?.id, code: refusal.code, reason, version: config.view?.config.version,
--- a/packages/gateway/src/placement/controller.ts
+++ b/packages/gateway/src/placement/controller.ts
@@ -1,7 +1,7 @@
 /** Gives engines their layers while this entry holds the lease: plans, orders, follows up. */
 import type { Logger } from 'pino';
 import {
-  BaseError, errorCode, planLayers, sameRange, toLayerHost,
+  errorFields, planLayers, sameRange, toLayerHost,
   type CancelTimer, type Clock, type EngineModel, type LayerHost, type LayerRange,
   type PlacedRange, type ServingConfigHolder, type ServingTarget, type TargetTable,
 } from '@verbenashunt/core';
@@ -98,8 +98,7 @@
     if (calling.has(target.id)) return;
     calling.add(target.id);
     run().catch((err) => {
-      const error = BaseError.normalize(err);
-      log.info({ target: target.id, code: errorCode(error), err: error.message }, 'order not settled');
+      log.info({ target: target.id, ...errorFields(err) }, 'order not settled');
       if ((pending.get(target.id)?.until ?? 0) < clock.now()) pending.delete(target.id);
     }).finally(() => calling.delete(target.id));
   }
--- a/packages/gateway/src/requests/stall-watch.ts
+++ b/packages/gateway/src/requests/stall-watch.ts
@@ -3,9 +3,7 @@
  * wait for, once for all streams that began there; one that can't tell is taken for lost.
  */
 import type { Logger } from 'pino';
-import {
-  BaseError, errorCode, type Clock, type ServingTarget,
-} from '@verbenashunt/core';
+import { errorFields, type Clock, type ServingTarget } from '@verbenashunt/core';
 import { askReport, type ReportDeps } from '../routing/report.js';
 
 export interface WatchedStream {
@@ -75,10 +73,9 @@
   }
 
   function missed(target: ServingTarget, state: Asked, err: unknown) {
-    const error = BaseError.normalize(err);
     const misses = state.misses + 1;
     log.info({
-      target: target.id, misses, code: errorCode(error), err: error.message,
+      target: target.id, misses, ...errorFields(err),
     }, 'silent target gave no report');
     Object.assign(state, { misses });
     if (misses >= maxMisses) ofTarget(target.id).filter(isQuiet).forEach(({ lost }) => lost());
--- a/packages/gateway/src/routing/load-monitor.ts
+++ b/packages/gateway/src/routing/load-monitor.ts
@@ -5,7 +5,7 @@
  */
 import type { Logger } from 'pino';
 import {
-  BaseError, correctedActive, errorCode, type Clock, type HeldRange, type ServingTarget,
+  correctedActive, errorFields, type Clock, type HeldRange, type ServingTarget,
 } from '@verbenashunt/core';
 import { askReport, type ReportDeps } from './report.js';
 
@@ -109,8 +109,7 @@
     const waitMs = misses < maxMisses ? againMs : deadPeriodMs;
     Object.assign(state, { misses, dueAt: clock.now() + waitMs });
     if (misses !== maxMisses) return;
-    const error = BaseError.normalize(err);
-    log.warn({ target: target.id, code: errorCode(error), err: error.message }, 'target is dead');
+    log.warn({ target: target.id, ...errorFields(err) }, 'target is dead');
   }
 
   function tick() {
--- a/packages/gateway/src/store/follow.ts
+++ b/packages/gateway/src/store/follow.ts
@@ -3,9 +3,7 @@
  * connections that went silent.
  */
 import type { Logger } from 'pino';
-import {
-  BaseError, errorCode, HistoryLostError, type Clock,
-} from '@verbenashunt/core';
+import { errorFields, HistoryLostError, type Clock } from '@verbenashunt/core';
 import type { RowStore, StoredRow, TableState } from '../ports.js';
 
 /** Time for which the store holds a call open; a silent connection is noticed soon after. */
@@ -72,8 +70,8 @@
     await wait(gatherMs);
   }
 
-  function failed(err: Error) {
-    if (failures === 0) log.warn({ table, code: errorCode(err), err: err.message }, 'table not followed');
+  function failed(err: unknown) {
+    if (failures === 0) log.warn({ table, ...errorFields(err) }, 'table not followed');
     failures += 1;
     if (err instanceof HistoryLostError) version = undefined;
   }
@@ -86,7 +84,7 @@
     try {
       await (version === undefined ? readAll() : readChanges(version));
     } catch (err) {
-      failed(BaseError.normalize(err));
+      failed(err);
       await pause();
     }
   }
--- a/packages/gateway/src/store/lease-keeper.ts
+++ b/packages/gateway/src/store/lease-keeper.ts
@@ -4,7 +4,7 @@
  */
 import type { Logger } from 'pino';
 import {
-  BaseError, ConflictError, errorCode, leaseRenewMs, leaseTtlMs, nextLease, validLease, type Clock,
+  ConflictError, errorFields, leaseRenewMs, leaseTtlMs, nextLease, validLease, type Clock,
   type LeaseRecord,
 } from '@verbenashunt/core';
 import type { RowStore, StoredRow } from '../ports.js';
@@ -142,8 +142,7 @@
     try {
       waitMs = await step();
     } catch (err) {
-      const error = BaseError.normalize(err);
-      log.info({ code: errorCode(error), err: error.message }, 'lease not settled');
+      log.info(errorFields(err), 'lease not settled');
     }
     if (!isClosed) cancel = clock.after(waitMs * (0.9 + random() / 5), run);
   }
@@ -181,8 +180,7 @@
         log.info({ token: record.token }, 'lease released');
       } catch (err) {
         // It lapses by itself; another entry may have it by now.
-        const error = BaseError.normalize(err);
-        log.info({ code: errorCode(error), err: error.message }, 'lease not released');
+        log.info(errorFields(err), 'lease not released');
       }
     },
     close,
--- a/packages/wire/src/http/body.ts
+++ b/packages/wire/src/http/body.ts
@@ -2,6 +2,10 @@
 import type { IncomingMessage } from 'node:http';
 import { createRefusal } from '@verbenashunt/core';
 
+/** Whether a request says that it has a body. */
+export const hasBody = ({ headers }: IncomingMessage) => 'content-length' in headers
+  || 'transfer-encoding' in headers;
+
 export interface BodyBounds {
   /** Bytes of all bodies that are held while they arrive. */
   maxBufferedBytes: number;
