Look accelerators up, work out KV room and plan groups in one place

No change of behaviour, found on reading the change again. - The kind of a target's accelerator was looked up in three places, and the KV cache beside its layers worked out in two: `kindOf`, `kvTokensOf`. - A plan for each group was made twice in each look at the placement, five times a second, once only to see that it is empty; it is handed on. - The headers of one connection stood in the agent and the platform's adapter; the common part lies in wire. The entry's own list is shorter and stays, as it decides what an oversized header refuses. - A held range is a range of layers with a version, not a second type.

--- a/packages/agent/src/targets/service-target.ts
+++ b/packages/agent/src/targets/service-target.ts
@@ -2,15 +2,13 @@
 import { Pool } from 'undici';
 import { TargetError } from '@verbenashunt/core';
 import type { Call, CallResult } from '@verbenashunt/schema';
+import { connectionHeaders } from '@verbenashunt/wire';
 
 const connectionCount = 64;
 const maxAnswerBytes = 4 * 1024 * 1024;
 
 /** Headers that belong to one connection and are not passed on. */
-const hopHeaders = new Set([
-  'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization',
-  'te', 'trailer', 'transfer-encoding', 'upgrade', 'host', 'content-length', 'authorization',
-]);
+const hopHeaders = new Set([...connectionHeaders, 'host', 'content-length', 'authorization']);
 
 export interface ServiceTarget {
   /** Makes one call; TargetError when the target gave no whole answer. Never calls twice. */
--- a/packages/core/src/placement/hosts.ts
+++ b/packages/core/src/placement/hosts.ts
@@ -1,7 +1,7 @@
 /** Targets as the layer planner sees them. */
-import type { EngineModel } from '../serving/config.js';
+import { kindOf, type EngineModel } from '../serving/config.js';
 import type { ServingTarget } from '../serving/targets.js';
-import { fittingLayersAt } from './memory.js';
+import { fittingLayersAt, kvTokensBeside } from './memory.js';
 
 /** Layers [lo, hi). */
 export interface LayerRange {
@@ -32,12 +32,18 @@
     id, zone, kind, held,
   }: ServingTarget,
 ): LayerHost | undefined {
-  const known = engine.kinds.find(({ name }) => name === kind);
+  const known = kindOf(engine, kind);
   return known && {
     id, zone, memoryMb: known.memoryMb, stepFactor: known.stepFactor, held,
   };
 }
 
+/** Tokens for which a target has KV cache beside the layers that it holds; 0 where it has none. */
+export function kvTokensOf(engine: EngineModel, { kind, held }: ServingTarget): number {
+  const known = kindOf(engine, kind);
+  return known && held ? kvTokensBeside(engine, known.memoryMb, lengthOf(held)) : 0;
+}
+
 /** Layers that the hosts hold together when each keeps KV cache for `tokens` tokens. */
 export const layersAt = (engine: EngineModel, hosts: readonly LayerHost[], tokens: number) => hosts
   .reduce((sum, { memoryMb }) => sum + fittingLayersAt(engine, memoryMb, tokens), 0);
--- a/packages/core/src/placement/zone-plan.ts
+++ b/packages/core/src/placement/zone-plan.ts
@@ -198,6 +198,11 @@
   return copies(engine, group);
 }
 
+interface GroupPlan {
+  group: LayerHost[];
+  ranges: PlacedRange[];
+}
+
 /** A chain of all hosts of a group in the order of what they hold, so that few layers move. */
 function layAnew(engine: EngineModel, group: readonly LayerHost[]): PlacedRange[] {
   const holders = group.filter(isHolder).sort((a, b) => a.held.lo - b.held.lo);
@@ -219,10 +224,11 @@
  * Groups to lay out anew, as holes are left in them that can't be filled. No stream begins on such
  * a group while another is complete; where none is, one is mended and the others serve on.
  */
-function beyondRepair(engine: EngineModel, groups: readonly LayerHost[][]): LayerHost[][] {
-  const broken = groups.filter((group) => group.some(isHolder) && canHold(engine, group)
-    && !isComplete(engine, group) && planGroup(engine, group).length === 0);
-  if (groups.some((group) => isComplete(engine, group))) return broken;
+function beyondRepair(engine: EngineModel, plans: readonly GroupPlan[]): LayerHost[][] {
+  const broken = plans.filter(({ group, ranges }) => group.some(isHolder)
+    && canHold(engine, group) && !isComplete(engine, group) && ranges.length === 0)
+    .map(({ group }) => group);
+  if (plans.some(({ group }) => isComplete(engine, group))) return broken;
   return broken.sort((a, b) => maxKvTokens(engine, b) - maxKvTokens(engine, a)).slice(0, 1);
 }
 
@@ -240,11 +246,12 @@
   hosts: readonly LayerHost[],
   { mayMove }: LayerPlanOptions = { mayMove: true },
 ): PlacedRange[] {
-  const groups = chainGroups(engine, hosts);
+  const plans = chainGroups(engine, hosts)
+    .map((group): GroupPlan => ({ group, ranges: planGroup(engine, group) }));
   const held = new Map(hosts.map((host) => [host.id, host.held]));
   const ranges = [
-    ...groups.flatMap((group) => planGroup(engine, group)),
-    ...(mayMove ? beyondRepair(engine, groups) : []).flatMap((group) => layAnew(engine, group)),
+    ...plans.flatMap((plan) => plan.ranges),
+    ...(mayMove ? beyondRepair(engine, plans) : []).flatMap((group) => layAnew(engine, group)),
   ];
   return ranges.filter((range) => !sameRange(held.get(range.id), range));
 }
--- a/packages/core/src/serving/chain-choice.ts
+++ b/packages/core/src/serving/chain-choice.ts
@@ -2,10 +2,10 @@
  * Choice of the chain of targets for a stream: the shortest path over the layers that targets hold,
  * by the time of its stages, the KV memory that they have left and the pipe between zones.
  */
-import { kvTokensBeside } from '../placement/memory.js';
+import { kvTokensOf } from '../placement/hosts.js';
 import { chooseChain, type ChainStage } from '../routing/chain.js';
 import type { RequestSize, StageCandidate } from '../routing/predict.js';
-import type { EngineModel } from './config.js';
+import { kindOf, type EngineModel } from './config.js';
 import type { ServingTarget } from './targets.js';
 
 export interface ChainChoiceQuery {
@@ -35,11 +35,10 @@
 
 function toCandidate(query: ChainChoiceQuery, target: ServingTarget): StageCandidate[] {
   const { engine, size, fromLayer = 0 } = query;
-  const kind = engine.kinds.find(({ name }) => name === target.kind);
+  const kind = kindOf(engine, target.kind);
   const { held } = target;
   if (!kind || !held || held.hi <= Math.max(held.lo, fromLayer)) return [];
   const need = size.promptTokens + size.answerTokens;
-  const tokens = kvTokensBeside(engine, kind.memoryMb, held.hi - held.lo);
   return [{
     node: target.id,
     zone: target.zone,
@@ -49,7 +48,7 @@
     layerMs: (engine.stepMs * kind.stepFactor) / engine.layers,
     prefillMs: (1000 / engine.readTokensPerS) * (kind.readFactor / engine.layers),
     active: query.tokensAt(target.id),
-    limit: Math.max(1, tokens - need),
+    limit: Math.max(1, kvTokensOf(engine, target) - need),
     slowdown: query.slowdownOf(target.id),
   }];
 }
--- a/packages/core/src/serving/config.ts
+++ b/packages/core/src/serving/config.ts
@@ -71,6 +71,10 @@
   delays: readonly { from: string; to: string; ms: number }[];
 }
 
+/** The kind of accelerator with a name; undefined where the model's engines have none such. */
+export const kindOf = ({ kinds }: EngineModel, name: string | undefined) => kinds
+  .find((kind) => kind.name === name);
+
 export interface ServingService {
   name: string;
   healthPath: string;
--- a/packages/core/src/serving/targets.ts
+++ b/packages/core/src/serving/targets.ts
@@ -1,10 +1,9 @@
 /** Targets that an entry calls directly, as the platform's list and the targets tell of them. */
+import type { LayerRange } from '../placement/hosts.js';
 import { groupBy } from './group-by.js';
 
-/** Layers [lo, hi) of one version of the weights. */
-export interface HeldRange {
-  lo: number;
-  hi: number;
+/** Layers of one version of the weights. */
+export interface HeldRange extends LayerRange {
   version: number;
 }
 
--- a/packages/gateway/src/routing/selector.ts
+++ b/packages/gateway/src/routing/selector.ts
@@ -1,6 +1,6 @@
 /** Chooses where an attempt goes, and keeps what this entry has in flight at each target. */
 import {
-  chooseService, chooseServingChain, createTargetHealth, kvTokensBeside,
+  chooseService, chooseServingChain, createTargetHealth, kvTokensOf,
   type ChainStage, type Clock, type ServingService, type ServingTarget, type TargetTable,
 } from '@verbenashunt/core';
 import type { ChainPart } from '../ports.js';
@@ -117,12 +117,10 @@
       spec.service.engine ? chooseChainOf(spec, avoid) : chooseAlone(spec, avoid)),
     reroute,
     /** Whether every target of a choice has KV memory left for a request. */
-    hasRoom: ({ service, size }: RequestSpec, { parts }: Choice) => parts.every((part) => {
-      const kind = service.engine?.kinds.find(({ name }) => name === part.kind);
-      if (!service.engine || !kind || !part.held) return false;
-      const room = kvTokensBeside(service.engine, kind.memoryMb, part.held.hi - part.held.lo);
-      return deps.load().tokensAt(part.id) + size.promptTokens + size.answerTokens < room;
-    }),
+    hasRoom: ({ service: { engine }, size }: RequestSpec, { parts }: Choice) => parts
+      .every((part) => engine !== undefined
+        && deps.load().tokensAt(part.id) + size.promptTokens + size.answerTokens
+          < kvTokensOf(engine, part)),
     /** A target of a choice that leaves or is no longer listed; undefined when all stay. */
     leaving: ({ parts }: Choice) => parts
       .find(({ id }) => targets.byId(id)?.draining ?? true),
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -10,6 +10,7 @@
 export * from './tls.js';
 export * from './drain.js';
 export * from './http/body.js';
+export * from './http/headers.js';
 export * from './http/listener.js';
 export * from './http/stream.js';
 export * from './exchange.js';
