Use targets whose rows lapsed with the store until they register again

A target can't renew its row while the store is away; the row lapses and is back within about two seconds of the store's return. The gateway dropped such targets at once, so a service could be without any target for that time.

Ruled out: keeping every removed row for a while, which would send work to targets that left; keeping rows after lost history, as nobody lapses then and removals may be a second old already.

Change: the follower of a table tells how long the store was away; after two heartbeats or more, rows that are gone and did not say that they leave keep their target until 1.8 s after the return, less where leaving targets must be left sooner. gateway.ts hands its list of targets to a module of its own.

Tests: test/gateway/target-list (new behaviour, new module: they name new calls), test/platform/store for the time away.

--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -4,6 +4,7 @@
 export * from './events.js';
 export * from './group-by.js';
 export * from './health.js';
+export * from './lapse.js';
 export * from './lease.js';
 export * from './life.js';
 export * from './retry-window.js';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,7 +6,7 @@
 import {
   BaseError, createRefusal, createServingConfigHolder, createTargetTable,
   errorFields, sameRange, SystemClock, toRefusal,
-  type Clock, type RetryLimits, type ServingTarget,
+  type Clock, type LapseLimits, type RetryLimits,
 } from '@verbenashunt/core';
 import {
   createBodyReader, createExchanger, drain, hasBody,
@@ -30,6 +30,7 @@
 import { createSelector } from './routing/selector.js';
 import { followTable } from './store/follow.js';
 import { createLeaseKeeper } from './store/lease-keeper.js';
+import { createTargetList } from './store/target-list.js';
 
 export interface GatewayOptions {
   node: string;
@@ -42,6 +43,7 @@
   /** Time from the signal to stop until the process is killed, in milliseconds. */
   graceMs: number;
   retries: RetryLimits;
+  targetRows: LapseLimits;
 }
 
 export interface GatewayDeps {
@@ -113,8 +115,6 @@
   /** Targets of all services whose requests pass through engines. */
   const engines = () => (config.view?.config.services ?? [])
     .flatMap(({ name, engine }) => (engine ? targets.ofService(name) : []));
-  /** When the row of a target last changed. */
-  const rowChangedAt = new Map<string, number>();
   const load = createLoadMonitor({
     clock,
     log,
@@ -123,10 +123,10 @@
     ownTokens: selector.ownTokens,
     onHeld(target, held) {
       // What a target says lags behind; a row that has just changed is newer.
-      const changedAt = rowChangedAt.get(target.id) ?? -Infinity;
       const known = targets.byId(target.id);
       if (!known || known.address !== target.address || sameRange(known.held, held)) return;
-      if (clock.now() - changedAt < reportLagMs) return;
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called once both stand
+      if (clock.now() - list.changedAt(target.id) < reportLagMs) return;
       log.info({ target: target.id, held, was: known.held }, 'target holds other layers than listed');
       targets.apply({ id: target.id, target: { ...known, held } });
     },
@@ -148,30 +148,22 @@
     }
   }
 
-  const offerConfig = (list: readonly StoredRow[]) => list
+  const list = createTargetList({
+    clock,
+    log,
+    targets,
+    limits: cfg.targetRows,
+    decode: (row) => decoded(row, rows.decodeTarget),
+  });
+
+  const offerConfig = (changed: readonly StoredRow[]) => changed
     .flatMap((row) => decoded(row, rows.decodeConfig) ?? [])
     .forEach((next) => config.offer(next));
   const followers = [
     followTable({
       table: rows.configTable, onRows: offerConfig, onChanges: offerConfig,
     }, followDeps),
-    followTable({
-      table: rows.targetTable,
-      onRows: (list) => targets.reset(list.flatMap((row) => decoded(row, rows.decodeTarget) ?? [])),
-      onChanges: (list) => list.forEach((row) => {
-        const target: ServingTarget | undefined = decoded(row, rows.decodeTarget);
-        log.info({
-          target: row.key,
-          address: target?.address,
-          draining: target?.draining,
-          held: target?.held,
-          gone: !target,
-        }, 'target changed');
-        if (target) rowChangedAt.set(row.key, clock.now());
-        else rowChangedAt.delete(row.key);
-        targets.apply(target ? { id: row.key, target } : { id: row.key, target: undefined });
-      }),
-    }, followDeps),
+    followTable({ table: rows.targetTable, ...list }, followDeps),
   ];
 
   const controller = createPlacementController({
@@ -296,6 +288,7 @@
         clock.after(releaseTimeoutMs, () => resolve(undefined));
       })]);
       followers.forEach((follower) => follower.close());
+      list.close();
       probes.forEach((probe) => probe.close());
       server?.destroy();
       requestLog.close();
--- a/packages/gateway/src/store/follow.ts
+++ b/packages/gateway/src/store/follow.ts
@@ -22,6 +22,8 @@
 
 export interface FollowedTable {
   table: string;
+  /** The store answers again, after this many milliseconds without an answer. */
+  onRegained?(awayMs: number): void;
   /** All rows, at the start and whenever changes may have been missed. */
   onRows(rows: readonly StoredRow[]): void;
   onChanges(rows: readonly StoredRow[]): void;
@@ -41,6 +43,8 @@
   let version: number | undefined;
   let newest = 0;
   let failures = 0;
+  /** When the store last answered. */
+  let answeredAt = clock.now();
   let isClosed = false;
 
   const wait = (ms: number) => new Promise<void>((resolve) => {
@@ -48,8 +52,13 @@
   });
 
   function heard(state: TableState) {
-    if (failures > 0) log.info({ table, failures }, 'table followed again');
+    const awayMs = clock.now() - answeredAt;
+    if (failures > 0) {
+      log.info({ table, failures, awayMs: Math.round(awayMs) }, 'table followed again');
+      followed.onRegained?.(awayMs);
+    }
     failures = 0;
+    answeredAt = clock.now();
     version = state.version;
     newest = Math.max(newest, state.version);
   }
@@ -73,7 +82,10 @@
   function failed(err: unknown) {
     if (failures === 0) log.warn({ table, ...errorFields(err) }, 'table not followed');
     failures += 1;
-    if (err instanceof HistoryLostError) version = undefined;
+    if (!(err instanceof HistoryLostError)) return;
+    // It is an answer all the same.
+    answeredAt = clock.now();
+    version = undefined;
   }
 
   const pause = () => wait(
--- /dev/null
+++ b/packages/gateway/src/store/target-list.ts
@@ -0,0 +1,95 @@
+/** Takes the platform's rows of targets over into the table of targets. */
+import type { Logger } from 'pino';
+import {
+  createLapseGrace,
+  type CancelTimer, type Clock, type LapseLimits, type ServingTarget, type TargetTable,
+} from '@verbenashunt/core';
+import type { StoredRow } from '../ports.js';
+import type { FollowedTable } from './follow.js';
+
+export interface TargetListDeps {
+  clock: Clock;
+  log: Logger;
+  targets: TargetTable;
+  limits: LapseLimits;
+  /** Undefined for a row that names no target that could be used. */
+  decode(row: StoredRow): ServingTarget | undefined;
+}
+
+export interface TargetList extends Omit<FollowedTable, 'table'> {
+  /** When the row of a target last changed, on the entry's clock; -Infinity where none was seen. */
+  changedAt(id: string): number;
+  close(): void;
+}
+
+export function createTargetList(deps: TargetListDeps): TargetList {
+  const {
+    clock, log, targets, decode,
+  } = deps;
+  const grace = createLapseGrace(clock, deps.limits);
+  const changed = new Map<string, number>();
+  /** Timers that end the use of targets whose rows have lapsed. */
+  const lapsed = new Map<string, CancelTimer>();
+
+  function returned(id: string) {
+    lapsed.get(id)?.();
+    lapsed.delete(id);
+  }
+
+  function drop(id: string) {
+    returned(id);
+    changed.delete(id);
+    targets.apply({ id, target: undefined });
+  }
+
+  /** Whether a target without a row is used on for now. */
+  function outlasts(target: ServingTarget): boolean {
+    const { id } = target;
+    if (lapsed.has(id)) return true;
+    const graceMs = grace.graceOf(target);
+    if (graceMs === 0) return false;
+    log.info({ target: id, address: target.address, graceMs }, 'target lapsed with the store');
+    lapsed.set(id, clock.after(graceMs, () => {
+      log.info({ target: id }, 'lapsed target did not return');
+      drop(id);
+    }));
+    return true;
+  }
+
+  function onChange(row: StoredRow) {
+    const target = decode(row);
+    const known = targets.byId(row.key);
+    if (!target && row.value === undefined && known && outlasts(known)) return;
+    log.info({
+      target: row.key,
+      address: target?.address,
+      draining: target?.draining,
+      held: target?.held,
+      gone: !target,
+    }, 'target changed');
+    if (!target) {
+      drop(row.key);
+      return;
+    }
+    returned(row.key);
+    changed.set(row.key, clock.now());
+    targets.apply({ id: row.key, target });
+  }
+
+  return {
+    onRegained: grace.regained,
+    onRows(rows) {
+      const listed = rows.flatMap((row) => decode(row) ?? []);
+      const ids = new Set(rows.map(({ key }) => key));
+      ids.forEach(returned);
+      const kept = targets.all.filter((target) => !ids.has(target.id) && outlasts(target));
+      targets.reset([...listed, ...kept]);
+      [...changed.keys()].filter((id) => !targets.byId(id)).forEach((id) => changed.delete(id));
+    },
+    onChanges: (rows) => rows.forEach(onChange),
+    changedAt: (id) => changed.get(id) ?? -Infinity,
+    close() {
+      lapsed.forEach((cancel) => cancel());
+    },
+  };
+}
--- /dev/null
+++ b/test/gateway/target-list.test.ts
@@ -0,0 +1,88 @@
+/** Targets whose rows are gone: used on where the store was away long enough for rows to lapse. */
+import { expect, test } from 'vitest';
+import { pino } from 'pino';
+import { createTargetTable, ManualClock, type ServingTarget } from '@verbenashunt/core';
+import { createTargetList, type StoredRow } from '@verbenashunt/gateway';
+
+const limits = { heartbeatMs: 1000, leaveMs: 2000 };
+const row = (key: string, draining = false): StoredRow => ({
+  key, value: Buffer.from(draining ? 'draining' : 'ready'), version: 1,
+});
+const gone = (key: string): StoredRow => ({ key, value: undefined, version: 2 });
+
+const decode = ({ key, value }: StoredRow): ServingTarget | undefined => (value ? {
+  id: key,
+  service: 'pool',
+  address: `${key}:1`,
+  zone: 'zone-a',
+  draining: value.toString() === 'draining',
+  slots: 1,
+  kind: undefined,
+  held: undefined,
+  startedAt: 1,
+} : undefined);
+
+function begin(rows = [row('a'), row('b')]) {
+  const clock = new ManualClock();
+  const targets = createTargetTable();
+  const list = createTargetList({
+    clock, log: pino({ level: 'silent' }), targets, limits, decode,
+  });
+  list.onRows(rows);
+  return { clock, list, ids: () => targets.all.map(({ id }) => id) };
+}
+
+test('a removed target is gone at once', () => {
+  const { list, ids } = begin();
+  list.onChanges([gone('a')]);
+  expect(ids()).toEqual(['b']);
+});
+
+test('lapsed while the store was away: used until it is back', () => {
+  const { clock, list, ids } = begin();
+  list.onRegained!(4000);
+  list.onChanges([gone('a'), gone('b')]);
+  expect(ids()).toEqual(['a', 'b']);
+  clock.advance(1500);
+  list.onChanges([row('a')]);
+  clock.advance(5000);
+  expect(ids()).toEqual(['a']);
+});
+
+test('the same where all rows are read again', () => {
+  const { clock, list, ids } = begin();
+  list.onRegained!(4000);
+  list.onRows([row('b')]);
+  expect(ids().sort()).toEqual(['a', 'b']);
+  list.onRows([row('b')]);
+  expect(ids().sort()).toEqual(['a', 'b']);
+  clock.advance(1799);
+  expect(ids().sort()).toEqual(['a', 'b']);
+  clock.advance(1);
+  expect(ids()).toEqual(['b']);
+});
+
+test('not used for longer than a leaving target may be', () => {
+  const { clock, list, ids } = begin();
+  list.onRegained!(4000);
+  clock.advance(1000);
+  list.onChanges([gone('a')]);
+  clock.advance(800);
+  expect(ids()).toEqual(['b']);
+  list.onChanges([gone('b')]);
+  expect(ids()).toEqual([]);
+});
+
+test('an outage too short for rows to lapse keeps none', () => {
+  const { list, ids } = begin();
+  list.onRegained!(1900);
+  list.onChanges([gone('a')]);
+  expect(ids()).toEqual(['b']);
+});
+
+test('one that had said that it leaves is gone', () => {
+  const { list, ids } = begin([row('a', true), row('b')]);
+  list.onRegained!(4000);
+  list.onChanges([gone('a')]);
+  expect(ids()).toEqual(['b']);
+});
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -9,6 +9,7 @@
 region = "region"
 ip = "10.0.0.1"
 internalPorts = [7340, 7355]
+heartbeatMs = 1200
 later = { new = true }
 [listen]
 front = "10.0.0.1:8227"
@@ -35,6 +36,7 @@
       metrics: { host: '10.0.0.1', port: 7340 },
       graceMs: 8000,
       retries: { ratio: 0.2, extra: 198, windowMs: 10_000 },
+      targetRows: { heartbeatMs: 1200, leaveMs: 2000 },
     },
   });
 });
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -67,11 +67,14 @@
   const seen: string[] = [];
   const note = (kind: string) => (rows: readonly StoredRow[]) => seen
     .push(`${kind} ${rows.map(({ key, value }) => `${key}=${value ?? 'gone'}`).join(',')}`);
-  const follower = followTable({ table: 't', onRows: note('rows'), onChanges: note('changes') }, {
+  const away: number[] = [];
+  const follower = followTable({
+    table: 't', onRows: note('rows'), onChanges: note('changes'), onRegained: (ms) => away.push(ms),
+  }, {
     clock, random, log, store: clientOf(),
   });
   closers.push(follower.close);
-  return { seen, follower };
+  return { seen, follower, away };
 }
 
 const within = { timeout: 6000, interval: 10 };
@@ -90,11 +93,13 @@
 
 test('lost history is read anew', async () => {
   store.put('t', 'a', 1);
-  const { seen } = follow();
+  const { seen, away } = follow();
   await last(seen, 'rows a=1');
-  store.fault = 'busy';
   store.put('t', 'b', 2);
   store.compact();
+  await last(seen, 'rows a=1,b=2');
+  expect(away.filter((ms) => ms > 1000)).toEqual([]);
+  store.fault = 'busy';
   store.fault = 'none';
   await last(seen, 'rows a=1,b=2');
 });
@@ -117,13 +122,15 @@
 });
 
 test('a silent store is followed again soon after it speaks', async () => {
-  const { seen, follower } = follow();
+  const { seen, follower, away } = follow();
   await last(seen, 'rows ');
   store.fault = 'silent';
   await vi.waitFor(() => expect(follower.isConnected).toBe(false), within);
   store.put('t', 'a', 1);
   store.fault = 'none';
   await last(seen, 'changes a=1');
+  expect(away).toHaveLength(1);
+  expect(away[0]).toBeGreaterThan(1500);
 });
 
 function keep(node: string) {
--- a/test/support/gateway-world.ts
+++ b/test/support/gateway-world.ts
@@ -94,6 +94,7 @@
     metrics: undefined,
     graceMs: 3000,
     retries: { ratio: 0.2, extra: 200, windowMs: 10_000 },
+    targetRows: { heartbeatMs: 1000, leaveMs: 2000 },
   }, { log: pino({ level: 'silent' }), ports: createPlatformPorts(store.address) });
 }
 
