Try every target that can be reached before a call is refused

Three refusals for each attempt was meant for targets that answer; a target that can't be reached is avoided by the request, costs no arrival, and so is tried once at the most.

Ruled out: a higher limit, as its right value is the number of targets.

--- a/packages/core/src/serving/life.ts
+++ b/packages/core/src/serving/life.ts
@@ -25,7 +25,7 @@
 export interface LifeState {
   /** Attempts that ran or may have run. */
   ran: number;
-  /** Attempts that certainly did not run. */
+  /** Attempts that targets refused, before the caller had anything. */
   missed: number;
   /** Events or bytes that the caller has received. */
   delivered: boolean;
@@ -41,8 +41,9 @@
 export type LifeStep = { do: 'try' | 'relay' | 'cut' } | { do: 'refuse'; ran: 'no' | 'unknown' };
 
 /**
- * Attempts that did not run after which a request is refused, for each one that may run. An answer
- * that its caller has in part is not given up for them: time and budget end it.
+ * Refusals of targets after which a request is refused, for each attempt that may run. An answer
+ * that its caller has in part is not given up for them: time and budget end it. Targets that can't
+ * be reached are not counted, as each is tried once and nothing arrives there.
  */
 const missesPerAttempt = 3;
 
@@ -54,12 +55,9 @@
 
 /** The state after an attempt. */
 export function afterAttempt(state: LifeState, end: AttemptEnd): LifeState {
-  const missed = end === 'unsent' || end === 'not_run';
-  return {
-    ...state,
-    ran: state.ran + (missed ? 0 : 1),
-    missed: state.missed + (missed && !state.delivered ? 1 : 0),
-  };
+  if (end === 'unsent') return state;
+  if (end !== 'not_run') return { ...state, ran: state.ran + 1 };
+  return state.delivered ? state : { ...state, missed: state.missed + 1 };
 }
 
 /** What a request ends with when it can't be tried again. */
--- a/test/gateway/calls.test.ts
+++ b/test/gateway/calls.test.ts
@@ -61,6 +61,14 @@
   expect(ranBy(it)).toEqual([0, 6]);
 });
 
+test('one target of five can be reached: each request runs there, once', async () => {
+  const it = await begin({ apps: 5 });
+  await Promise.all(it.apps.slice(1).map((app) => app.close()));
+  const answers = await Promise.all(Array.from({ length: 4 }, () => it.call(write)));
+  expect(answers.map(({ status }) => status)).toEqual(Array(4).fill(200));
+  expect(ranBy(it)).toEqual([4, 0, 0, 0, 0]);
+});
+
 test.each(['reset', 'foreign', 'half', 'shed-silently'] as const)('once, %s: unknown, not run again', async (manner) => {
   const it = await begin();
   it.apps.forEach((app) => Object.assign(app, { manner }));
@@ -80,6 +88,14 @@
   expect(totalRan(it)).toBe(1);
 });
 
+test('one target of five can be reached: each request runs there, once', async () => {
+  const it = await begin({ apps: 5 });
+  await Promise.all(it.apps.slice(1).map((app) => app.close()));
+  const answers = await Promise.all(Array.from({ length: 4 }, () => it.call(write)));
+  expect(answers.map(({ status }) => status)).toEqual(Array(4).fill(200));
+  expect(ranBy(it)).toEqual([4, 0, 0, 0, 0]);
+});
+
 test.each(['reset', 'foreign', 'half', 'silent', 'fail', 'unframed-reset'] as const)('idempotent, %s at one: run at the other', async (manner) => {
   const it = await begin();
   it.apps[0]!.manner = manner;
--- a/test/serving/life.test.ts
+++ b/test/serving/life.test.ts
@@ -70,6 +70,13 @@
   expect(worlds.filter(({ state, spec }) => state.ran > spec.maxAttempts)).toEqual([]);
 });
 
+test('targets that can not be reached use nothing up', () => {
+  const spec: LifeSpec = { kind: 'once', resumable: false, maxAttempts: 1 };
+  const state = Array.from({ length: 20 }).reduce((last: LifeState) => afterAttempt(last, 'unsent'), newLife());
+  expect(stepAfter(spec, state, 'unsent', true)).toEqual({ do: 'try' });
+  expect(stepAfter(spec, state, 'unsent', false)).toEqual({ do: 'refuse', ran: 'no' });
+});
+
 test('every request ends', () => {
   const longest = worlds.reduce((most, { history }) => Math.max(most, history.length), 0);
   expect(longest).toBeLessThan(20);
