Keep requests that crash targets from running again, at every entry

Ruled out: counting broken connections (targets that reset a part of their requests would condemn requests that many callers make); a row for each request that was at a crashed target; conditional counters, which a lost answer leaves in doubt.

Change: a target that ends a connection before its answer is whole, or a stage that the first target waits for, is asked for a report. If no answer comes, the entry adds the target with the requests it broke off to its own row, which all entries follow. Three targets under one fingerprint (organisation, method, path, body) and it is refused as not run. A whole answer speaks for a request against the crashes before it. Records only add up, so lost, doubled and late ones make no difference (property test). The platform's adapter tells such a refusal by 503, its promise of not run.

Tests: test/gateway/crashing-requests (with the check taken out: 1 of 3 fails, the fourth target crashes), test/serving/crash-book.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,6 +20,7 @@
 export * from './ledger/admission.js';
 export * from './ledger/call-ledger.js';
 export * from './retry/budget.js';
+export * from './poison/crash-book.js';
 export * from './poison/suspects.js';
 export * from './membership/subset.js';
 export * from './membership/directory.js';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import { createGatewayMetrics } from './metrics.js';
 import { createPlacementController } from './placement/controller.js';
 import type { CallerRequest, PlatformPorts, StoredRow } from './ports.js';
+import { createCrashWatch } from './requests/crash-watch.js';
 import { createTargetProgress } from './requests/progress.js';
 import { createRequestLog } from './requests/request-log.js';
 import { startRun } from './requests/run.js';
@@ -28,6 +29,7 @@
 import { createStallWatch } from './requests/stall-watch.js';
 import { createLoadMonitor } from './routing/load-monitor.js';
 import { createSelector } from './routing/selector.js';
+import { createCrashTable } from './store/crash-table.js';
 import { followTable } from './store/follow.js';
 import { createLeaseKeeper } from './store/lease-keeper.js';
 import { createTargetList } from './store/target-list.js';
@@ -134,6 +136,10 @@
       || (held !== undefined && (zone === cfg.zone || selector.ownTokens(id) > 0))),
   });
 
+  const crashTable = createCrashTable({ ...followDeps, node: cfg.node });
+  const crashes = createCrashWatch({
+    log, exchanger, protocol: ports.targets, crashes: crashTable,
+  });
   const stalls = createStallWatch({
     clock, log, exchanger, protocol: ports.targets,
   });
@@ -190,6 +196,7 @@
       log: requestLog,
       selector,
       stalls,
+      crashes,
       progress,
       exchanger,
       protocol: ports.targets,
@@ -226,6 +233,7 @@
       const spec = specOf(config.view, caller, arrivedAt, random());
       if (isStopTooNear(spec)) throw createRefusal('stopping');
       const body = hasBody(req) ? await readBody(req, maxBodyBytes) : undefined;
+      if (crashes.isPoison({ ...spec, body })) throw createRefusal('quarantined');
       if (!res.destroyed) run({ ...spec, body }, res);
     } catch (err) {
       // The rest of a body that nobody reads must not be taken for the next request.
@@ -289,6 +297,7 @@
       })]);
       followers.forEach((follower) => follower.close());
       list.close();
+      crashTable.close();
       probes.forEach((probe) => probe.close());
       server?.destroy();
       requestLog.close();
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -19,6 +19,8 @@
 
 export interface AttemptFailure {
   end: AttemptEnd;
+  /** The target ended the connection before the answer was whole. */
+  isLost: boolean;
   /** Address of a target that is at fault, where the answer names one. */
   blamed: string | undefined;
   /** What the target answered, where it answered in whole. */
@@ -73,7 +75,7 @@
     isOver = true;
     exchange?.abort();
     handler.failed({
-      end, reason, blamed: undefined, answer: undefined, ...known,
+      end, reason, isLost: false, blamed: undefined, answer: undefined, ...known,
     });
   }
 
@@ -90,7 +92,8 @@
 
   function endEvents(isFramed: boolean) {
     if (splitter.pendingBytes > 0 || !isFramed) {
-      fail('broken', isFramed ? 'the stream ended inside an event' : 'the stream has no end of its own');
+      const reason = isFramed ? 'the stream ended inside an event' : 'the stream has no end of its own';
+      fail('broken', reason, { isLost: true });
       return;
     }
     isOver = true;
@@ -125,7 +128,7 @@
     },
     failed(err, sent) {
       if (!sent) fail('unsent', err.message);
-      else fail(head ? 'broken' : 'unknown', err.message);
+      else fail(head ? 'broken' : 'unknown', err.message, { isLost: true });
     },
   }, { fresh: options.fresh });
 
--- a/packages/gateway/src/requests/reroute.ts
+++ b/packages/gateway/src/requests/reroute.ts
@@ -3,6 +3,7 @@
 import { exchangeOnce } from '@verbenashunt/wire';
 import type { Choice, Selector } from '../routing/selector.js';
 import type { AttemptDeps } from './attempt.js';
+import type { CrashWatch } from './crash-watch.js';
 import type { RequestLog } from './request-log.js';
 import type { RequestSpec } from './spec.js';
 
@@ -26,6 +27,7 @@
   random: () => number;
   log: RequestLog;
   selector: Selector;
+  crashes: CrashWatch;
 }
 
 export interface Rerouter {
@@ -96,9 +98,13 @@
 
   return {
     stalledBy(address) {
-      const culprit = selector.idAt(spec.service, address);
-      if (culprit !== undefined) selector.failed(culprit);
-      start({ culprit, address, reason: 'a stage is dead' });
+      const target = selector.targetAt(spec.service, address);
+      if (target) {
+        selector.failed(target.id);
+        // Once for each stage: a stream that waits is asked after again and again.
+        if (!avoid.has(target.id)) deps.crashes.lost(spec, target);
+      }
+      start({ culprit: target?.id, address, reason: 'a stage is dead' });
     },
     moveIfLeaving() {
       const choice = stream.choice();
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -10,6 +10,7 @@
 import {
   startAttempt, type Attempt, type AttemptDeps, type AttemptFailure,
 } from './attempt.js';
+import type { CrashWatch } from './crash-watch.js';
 import type { StreamProgress, TargetProgress } from './progress.js';
 import type { RequestLog } from './request-log.js';
 import { createRerouter } from './reroute.js';
@@ -27,6 +28,7 @@
   log: RequestLog;
   selector: Selector;
   stalls: StallWatch;
+  crashes: CrashWatch;
   progress: TargetProgress;
   /** Repeats to the request's service. */
   retries: RetryWindow;
@@ -49,6 +51,7 @@
   const order = createEventOrder(spec.caller.lastEventId);
   const avoid = new Set<string>();
   let life = newLife();
+  let attempts = 0;
   let attempt: Attempt | undefined;
   let choice: Choice | undefined;
   let writer: AnswerWriter | undefined;
@@ -64,8 +67,6 @@
 
   const timeLeftMs = () => spec.expiresAt - clock.now();
 
-  const attempts = () => life.ran + life.missed;
-
   function endAttempt() {
     cancelTry();
     cancelWatch();
@@ -94,7 +95,7 @@
       code,
       ran,
       reason,
-      attempts: attempts(),
+      attempts,
       route: spec.route.name,
       version: spec.version,
     }, 'request refused');
@@ -110,7 +111,7 @@
     } else if (step.do === 'relay') {
       const { status } = failure.answer!;
       log.info({
-        req: spec.caller.id, target: choice!.target.id, status, attempts: attempts(),
+        req: spec.caller.id, target: choice!.target.id, status, attempts,
       }, 'failure passed on');
       close('relayed');
       sink.whole(failure.answer!);
@@ -140,9 +141,10 @@
     attempt = undefined;
     const { end, reason, blamed } = failure;
     deps.attemptFailed(end);
+    if (failure.isLost) deps.crashes.lost(spec, choice!.target);
     const culprit = blamed === undefined
       ? choice!.target.id
-      : selector.idAt(spec.service, blamed);
+      : selector.targetAt(spec.service, blamed)?.id;
     log.info({
       req: spec.caller.id, target: choice!.target.id, blamed, end, reason, last: order.last,
     }, 'attempt failed');
@@ -184,6 +186,7 @@
   /* eslint-enable @typescript-eslint/no-use-before-define */
 
   function answered(answer: WholeAnswer) {
+    deps.crashes.answered(spec);
     choice!.parts.forEach(({ id }) => selector.health.succeeded(id));
     const ms = clock.now() - spec.arrivedAt;
     deps.answerBegun(ms);
@@ -191,7 +194,7 @@
       req: spec.caller.id,
       target: choice!.target.id,
       status: answer.status,
-      attempts: attempts() + 1,
+      attempts,
       ms: Math.round(ms),
     }, 'request answered');
     close('answered');
@@ -199,6 +202,7 @@
   }
 
   function completed(headers: IncomingHttpHeaders) {
+    deps.crashes.answered(spec);
     choice!.parts.forEach(({ id }) => selector.health.succeeded(id));
     writer ??= sink.open(200, headers);
     log.info({
@@ -206,7 +210,7 @@
       target: choice!.target.id,
       stages: choice!.parts.length,
       zones: new Set(choice!.parts.map(({ zone }) => zone)).size,
-      attempts: attempts() + 1,
+      attempts,
       ...timing.summary(),
       events: order.last,
     }, 'stream completed');
@@ -218,7 +222,7 @@
   function abandon(reason: string, blamed?: string, end: AttemptEnd = 'unknown') {
     if (isOver || !attempt) return;
     failed({
-      end, reason, blamed, answer: undefined,
+      end, reason, isLost: false, blamed, answer: undefined,
     });
   }
 
@@ -297,6 +301,7 @@
 
   function begin(next: Choice) {
     choice = next;
+    attempts += 1;
     release = selector.hold(choice, spec);
     boundTry();
     watch();
@@ -313,7 +318,7 @@
       lastEventId: order.last,
     }, {
       isStream: spec.kind === 'stream',
-      fresh: spec.kind !== 'idempotent' || attempts() > 0,
+      fresh: spec.kind !== 'idempotent' || attempts > 1,
     }, {
       answered, event, completed, failed,
     }, deps);
--- a/packages/gateway/src/routing/selector.ts
+++ b/packages/gateway/src/routing/selector.ts
@@ -143,9 +143,9 @@
         });
       };
     },
-    /** Id of the target at an address, where it is known. */
-    idAt: (service: ServingService, address: string) => targets.ofService(service.name)
-      .find((target) => target.address === address)?.id,
+    /** The target at an address, where it is known. */
+    targetAt: (service: ServingService, address: string) => targets.ofService(service.name)
+      .find((target) => target.address === address),
     /** The target is dead or can't be reached, as a request found. */
     failed(id: string) {
       health.failed(id);
--- /dev/null
+++ b/packages/gateway/src/store/crash-table.ts
@@ -0,0 +1,104 @@
+/** Shares crashes that requests caused with all entries: one row of the store for each entry. */
+import type { Logger } from 'pino';
+import {
+  createCrashBook, errorFields, validCrashRecord, withAcquittal, withCrash,
+  type Acquittal, type CancelTimer, type Clock, type Crash, type CrashRecord,
+} from '@verbenashunt/core';
+import type { RowStore, StoredRow } from '../ports.js';
+import { followTable } from './follow.js';
+
+const table = 'verbenashunt-crashes';
+/** Time for which the store holds a call open in milliseconds; crashes are rare. */
+const waitMs = 5000;
+/** Time in which what is to be recorded together comes together, in milliseconds. */
+const gatherMs = 50;
+/** Wait after a failed write in milliseconds. */
+const retryMs = 500;
+
+export interface CrashTableDeps {
+  clock: Clock;
+  random: () => number;
+  log: Logger;
+  store: RowStore;
+  node: string;
+}
+
+export interface CrashTable {
+  /** Nothing is recorded by any entry. */
+  readonly isEmpty: boolean;
+  targetsOf(fingerprint: string): string[];
+  isPoison(fingerprint: string): boolean;
+  crashed(crash: Crash): void;
+  answered(acquittal: Acquittal): void;
+  close(): void;
+}
+
+export function createCrashTable(deps: CrashTableDeps): CrashTable {
+  const {
+    clock, log, store, node,
+  } = deps;
+  const book = createCrashBook(clock);
+  let own: CrashRecord | undefined;
+  let cancel: CancelTimer | undefined;
+  let isClosed = false;
+
+  function decode({ key, value }: StoredRow): CrashRecord | undefined {
+    try {
+      return value && validCrashRecord(JSON.parse(value.toString()));
+    } catch (err) {
+      log.warn({ key, ...errorFields(err) }, 'row not understood');
+      return undefined;
+    }
+  }
+
+  function onRow(row: StoredRow) {
+    const isOwn = row.key === node;
+    // What this process has seen is newer than what an earlier one left under its name.
+    if (isOwn && own) return;
+    const found = decode(row);
+    if (isOwn) own = found;
+    book.put(row.key, found);
+  }
+
+  async function write() {
+    cancel = undefined;
+    const value = Buffer.from(JSON.stringify(own));
+    try {
+      await store.write({ expect: [], put: [{ table, key: node, value }] });
+    } catch (err) {
+      log.info(errorFields(err), 'crashes not recorded');
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- each leads to the other
+      writeAfter(retryMs);
+    }
+  }
+
+  function writeAfter(ms: number) {
+    if (isClosed) return;
+    cancel ??= clock.after(ms, write);
+  }
+
+  function record(next: CrashRecord) {
+    own = next;
+    book.put(node, next);
+    writeAfter(gatherMs);
+  }
+
+  const follower = followTable({
+    table, waitMs, onRows: (rows) => rows.forEach(onRow), onChanges: (rows) => rows.forEach(onRow),
+  }, deps);
+
+  return {
+    get isEmpty() {
+      return book.isEmpty;
+    },
+    targetsOf: book.targetsOf,
+    isPoison: book.isPoison,
+    crashed: (crash) => record(withCrash(own, crash)),
+    answered: (acquittal) => record(withAcquittal(own, acquittal)),
+    close() {
+      isClosed = true;
+      cancel?.();
+      follower.close();
+    },
+  };
+}
--- a/packages/gateway/src/store/follow.ts
+++ b/packages/gateway/src/store/follow.ts
@@ -6,8 +6,11 @@
 import { errorFields, HistoryLostError, type Clock } from '@verbenashunt/core';
 import type { RowStore, StoredRow, TableState } from '../ports.js';
 
-/** Time for which the store holds a call open; a silent connection is noticed soon after. */
-const waitMs = 1500;
+/**
+ * Time for which the store holds a call open where the table names none; a silent connection is
+ * noticed soon after.
+ */
+const defaultWaitMs = 1500;
 /** Pause after changes, so that those that come together cost one call, in milliseconds. */
 const gatherMs = 120;
 /** Pauses after failures in a row, in milliseconds; the last one holds on. */
@@ -22,6 +25,8 @@
 
 export interface FollowedTable {
   table: string;
+  /** Time for which the store holds a call open in milliseconds. */
+  waitMs?: number;
   /** The store answers again, after this many milliseconds without an answer. */
   onRegained?(awayMs: number): void;
   /** All rows, at the start and whenever changes may have been missed. */
@@ -39,7 +44,7 @@
   const {
     clock, random, log, store,
   } = deps;
-  const { table } = followed;
+  const { table, waitMs = defaultWaitMs } = followed;
   let version: number | undefined;
   let newest = 0;
   let failures = 0;
--- a/packages/gateway/src/store/target-list.ts
+++ b/packages/gateway/src/store/target-list.ts
@@ -16,7 +16,7 @@
   decode(row: StoredRow): ServingTarget | undefined;
 }
 
-export interface TargetList extends Omit<FollowedTable, 'table'> {
+export interface TargetList extends Omit<FollowedTable, 'table' | 'waitMs'> {
   /** When the row of a target last changed, on the entry's clock; -Infinity where none was seen. */
   changedAt(id: string): number;
   close(): void;
