Hold the first layers several times, and close holes with copies

Cause: every zone laid all its hosts into one chain. Each lost target broke off all streams of its zone, and a zone that lost several had holes that neighbours could not close.

Ruled out: load of the chain (the median first event comes after 46 ms, pauses of 50 ms), admission.

Change: the smallest hosts are set aside while a chain of the others keeps KV cache for 0.35 of the requests that a target takes at once. Up to three copy the first layers, the rest those with the fewest holders. A hole is closed by empty hosts, neighbours that keep enough KV cache, or copies from elsewhere in the group, in that order, then as before. While the lease is orphaned copies stay. The planner is split: layout of empty hosts, copies, holes, groups.

Tests: test/serving/copies (6 of 9 failed before). In test/serving/zone-plan the check that nothing held is given up now stands twice: as it was, for plans that may not move copies, and for those that may, as 'only what others hold too is given up'. 'empty hosts copy different ranges' caught two copies of one range on the way, and stands.

--- a/packages/core/src/placement/chain-layout.ts
+++ b/packages/core/src/placement/chain-layout.ts
@@ -6,12 +6,9 @@
 import type { EngineModel } from '../serving/config.js';
 import { fittingLayersAt } from './memory.js';
 import {
-  maxKvTokens, type LayerHost, type LayerRange,
+  kvShare, maxKvTokens, type LayerHost, type LayerRange,
 } from './hosts.js';
 
-/** Share of the KV tokens of the evenest layout that each host keeps; the rest buys speed. */
-const kvShare = 0.6;
-
 export interface PlacedRange extends LayerRange {
   id: string;
 }
--- a/packages/core/src/placement/hosts.ts
+++ b/packages/core/src/placement/hosts.ts
@@ -60,6 +60,21 @@
   layers = engine.layers,
 ) => layersAt(engine, hosts, minKvTokens(engine)) >= layers;
 
+/** The largest memory first, and among these the fastest. */
+export const byMemory = (a: LayerHost, b: LayerHost) => b.memoryMb - a.memoryMb
+  || a.stepFactor - b.stepFactor
+  || (a.id < b.id ? -1 : 1);
+
+/**
+ * Share of the requests that a target takes at once for which a chain is to have KV cache; more
+ * memory goes into copies.
+ */
+const wantedSlotShare = 0.35;
+
+/** KV tokens that each host of a chain is to have. */
+export const wantedKvTokens = ({ slots, usual }: EngineModel) => wantedSlotShare * slots
+  * (usual.prompt + usual.answer);
+
 const searchSteps = 40;
 
 /** Most KV tokens that each host can keep while they hold `layers` layers; 0 when they can't. */
@@ -76,3 +91,10 @@
     return layersAt(engine, hosts, middle) >= layers ? [middle, hi] : [lo, middle];
   }, [0, high])[0];
 }
+
+/** Share of the KV tokens of the evenest layout that each host keeps; the rest buys speed. */
+export const kvShare = 0.6;
+
+/** KV tokens that each host keeps when they are laid end to end over all layers. */
+export const layoutKvTokens = (engine: EngineModel, hosts: readonly LayerHost[]) => kvShare
+  * maxKvTokens(engine, hosts);
--- a/packages/core/src/placement/index.ts
+++ b/packages/core/src/placement/index.ts
@@ -6,6 +6,7 @@
 export * from './stages.js';
 export * from './plan.js';
 export * from './memory.js';
+export * from './holders.js';
 export * from './hosts.js';
 export * from './chain-layout.js';
 export * from './zone-plan.js';
--- a/packages/gateway/src/placement/controller.ts
+++ b/packages/gateway/src/placement/controller.ts
@@ -129,10 +129,12 @@
   function place(service: string, engine: EngineModel) {
     const hosts = hostsOf(service, engine);
     if (hosts.length === 0 || !settled(hosts)) return;
-    const isDoubtful = lease.right()?.isOrphaned
+    const isOrphaned = lease.right()?.isOrphaned ?? true;
+    const isDoubtful = isOrphaned
       || targets.ofService(service).some(({ id }) => deps.isFailing(id));
     const isCalm = clock.now() - settledAt >= calmMs && pending.size + queued.size === 0;
-    planLayers(engine, hosts, { mayMove: isCalm && !isDoubtful })
+    // Two entries that each move a copy of one range could take away both.
+    planLayers(engine, hosts, { mayMove: isCalm && !isDoubtful, mayMoveCopies: !isOrphaned })
       .forEach((range) => queued.set(range.id, range));
     [...queued.values()]
       .filter(({ id }) => targets.byId(id)?.service === service && !calling.has(id))
