Look into chains that pause, and find their dead targets by connecting

Cause: a dead stage in the middle of a chain was found when the first target told of it, about 300 ms after the last event, and the streams were then read anew one after the other: half of them paused for 0.46 to 0.67 s.

Change: all streams of one chain get their events in the same passes. When all pause for 1.6 of their usual gaps and 10 ms, the targets of the chain are connected to; those that take no connection within 15 ms are dead, unless most don't, or this process itself was late. Begun streams look for a chain 2 ms after each other instead of 5.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,7 +9,7 @@
   type Clock, type LapseLimits, type RetryLimits,
 } from '@verbenashunt/core';
 import {
-  createBodyReader, createExchanger, drain, hasBody,
+  createBodyReader, createExchanger, drain, hasBody, takesConnection,
 } from '@verbenashunt/wire';
 import {
   headerBytesOf, serveCallers, serveProbe, type Address, type CallerServer,
@@ -18,6 +18,7 @@
 import { createGatewayMetrics } from './metrics.js';
 import { createPlacementController } from './placement/controller.js';
 import type { CallerRequest, PlatformPorts, StoredRow } from './ports.js';
+import { createChainWatch } from './requests/chain-watch.js';
 import { createCrashWatch } from './requests/crash-watch.js';
 import { createTargetProgress } from './requests/progress.js';
 import { createRequestLog } from './requests/request-log.js';
@@ -184,6 +185,10 @@
     isFailing: selector.health.isFailing,
   });
 
+  const chains = createChainWatch({
+    clock, log, takesConnection, onDead: ({ id }) => selector.failed(id),
+  });
+
   const stateOf = createServiceStates({
     clock, limits: () => options.retries, entries: lease.entries,
   });
@@ -196,6 +201,7 @@
       log: requestLog,
       selector,
       stalls,
+      chains,
       crashes,
       progress,
       exchanger,
@@ -307,6 +313,7 @@
       server?.destroy();
       requestLog.close();
       stalls.close();
+      chains.close();
       load.close();
       exchanger.close();
       store.close();
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,6 +4,7 @@
 export * from './store/follow.js';
 export * from './store/lease-keeper.js';
 export * from './store/target-list.js';
+export * from './requests/chain-watch.js';
 export * from './requests/resume-queue.js';
 export * from './requests/stop-window.js';
 export * from './requests/progress.js';
--- a/packages/gateway/src/requests/progress.ts
+++ b/packages/gateway/src/requests/progress.ts
@@ -5,6 +5,8 @@
  */
 export interface StreamProgress {
   readonly hasBegun: boolean;
+  /** Time between the last two events in milliseconds; undefined before the second. */
+  readonly gapMs: number | undefined;
   /** An event came. */
   event(now: number): void;
   /** The attempt is over. */
@@ -112,6 +114,9 @@
         get hasBegun() {
           return stream.heardAt !== undefined;
         },
+        get gapMs() {
+          return stream.gapMs;
+        },
         event(at) {
           if (stream.heardAt === undefined) begun(target, stream.sentAt, at);
           else stream.gapMs = at - stream.heardAt;
--- a/packages/gateway/src/requests/resume-queue.ts
+++ b/packages/gateway/src/requests/resume-queue.ts
@@ -13,7 +13,7 @@
 }
 
 /** Time between two turns in milliseconds; most refusals arrive within it. */
-const spacingMs = 5;
+const spacingMs = 2;
 /** Pause after a refusal in milliseconds, shorter than the pauses that routes allow in a stream. */
 const refusedPauseMs = 150;
 
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -10,6 +10,7 @@
 import {
   startAttempt, type Attempt, type AttemptDeps, type AttemptFailure,
 } from './attempt.js';
+import type { ChainWatch } from './chain-watch.js';
 import type { CrashWatch } from './crash-watch.js';
 import type { StreamProgress, TargetProgress } from './progress.js';
 import type { RequestLog } from './request-log.js';
@@ -28,6 +29,7 @@
   log: RequestLog;
   selector: Selector;
   stalls: StallWatch;
+  chains: ChainWatch;
   crashes: CrashWatch;
   progress: TargetProgress;
   /** Repeats to the request's service. */
@@ -277,7 +279,13 @@
   function watch() {
     if (spec.kind !== 'stream' || !spec.service.engine) return;
     heardAt = clock.now();
-    cancelWatch = deps.stalls.watch({
+    const cancelChain = deps.chains.watch({
+      parts: () => choice!.parts,
+      heardAt: () => (progress?.hasBegun ? heardAt : undefined),
+      gapMs: () => progress?.gapMs,
+      stalledBy: rerouter.stalledBy,
+    });
+    const cancelStall = deps.stalls.watch({
       requestId: spec.caller.id,
       target: choice!.target,
       quietSince: () => heardAt,
@@ -289,6 +297,10 @@
         abandon('the first target gave no report');
       },
     });
+    cancelWatch = () => {
+      cancelChain();
+      cancelStall();
+    };
   }
 
   /** Ends a try that takes too long for a call that may be repeated, where another is possible. */
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -14,3 +14,4 @@
 export * from './http/listener.js';
 export * from './http/stream.js';
 export * from './exchange.js';
+export * from './reach.js';
