Split taking requests in off the gateway, watching streams off a run; count by organisation

No change of what requests get. gateway.ts hands the taking in of requests to http/caller-handler, run.ts the watches of a stream to requests/stream-watch, the metrics say themselves what a request counts. New: requests that ended by organisation and outcome, two hundred organisations by name and the others together (test/gateway/metrics).

--- a/packages/core/src/serving/targets.ts
+++ b/packages/core/src/serving/targets.ts
@@ -24,6 +24,9 @@
   startedAt: number | undefined;
 }
 
+/** Tells the lives of targets apart, also those under one id. */
+export const lifeOf = ({ id, startedAt }: ServingTarget) => `${id}.${startedAt ?? ''}`;
+
 /** Change of one row of the platform's list. */
 export type TargetChange = | { id: string; target: ServingTarget }
   /** The row is gone, or names no target that could be used. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,30 +1,30 @@
 /** The gateway: an entry that owns callers' requests and calls targets directly. */
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { ServerResponse } from 'node:http';
 import { isDeepStrictEqual } from 'node:util';
 import Emittery from 'emittery';
 import type { Logger } from 'pino';
 import {
-  BaseError, createRefusal, createServingConfigHolder, createTargetTable,
-  errorFields, sameRange, SystemClock, toRefusal,
-  type Clock, type LapseLimits, type RetryLimits,
+  createRefusal, createServingConfigHolder, createTargetTable,
+  errorFields, lifeOf, sameRange, SystemClock,
+  type Clock, type LapseLimits, type RetryLimits, type ServingTarget,
 } from '@verbenashunt/core';
 import {
-  createBodyReader, createExchanger, drain, hasBody, takesConnection,
+  createBodyReader, createExchanger, drain, takesConnection,
 } from '@verbenashunt/wire';
+import { createCallerHandler } from './http/caller-handler.js';
 import {
-  headerBytesOf, serveCallers, serveProbe, type Address, type CallerServer,
+  serveCallers, serveProbe, type Address, type CallerServer,
 } from './http/server.js';
 import { createAnswerSink } from './http/sink.js';
 import { createGatewayMetrics } from './metrics.js';
 import { createPlacementController } from './placement/controller.js';
-import type { CallerRequest, PlatformPorts, StoredRow } from './ports.js';
+import type { PlatformPorts, StoredRow } from './ports.js';
 import { createChainWatch } from './requests/chain-watch.js';
 import { createCrashWatch } from './requests/crash-watch.js';
 import { createTargetProgress } from './requests/progress.js';
 import { createRequestLog } from './requests/request-log.js';
 import { startRun } from './requests/run.js';
 import { createServiceStates } from './requests/service-states.js';
-import { specOf } from './requests/spec-of.js';
 import type { RequestRun, RequestSpec } from './requests/spec.js';
 import { isTooLate, stopMarginMs, stoppingRetryMs } from './requests/stop-window.js';
 import { createStallWatch } from './requests/stall-watch.js';
@@ -70,7 +70,6 @@
   stop(hurry?: AbortSignal): Promise<boolean>;
 }
 
-const millisecondsPerSecond = 1000;
 /** Time to open a connection to a target; links within a region take a few milliseconds. */
 const connectTimeoutMs = 300;
 /** Idle time after which a kept connection to a target is not used again. */
@@ -81,6 +80,8 @@
 const stopNoticeMs = 2200;
 /** Time by which a target's report may lag behind its row, with room for the way. */
 const reportLagMs = 1000;
+/** Time for a target that another entry lost to take a connection, in milliseconds. */
+const confirmTimeoutMs = 50;
 /** Time in which a stopping entry hands its lease over; the rest of the grace time must hold it. */
 const releaseTimeoutMs = 200;
 
@@ -137,7 +138,21 @@
       || (held !== undefined && (zone === cfg.zone || selector.ownTokens(id) > 0))),
   });
 
-  const crashTable = createCrashTable({ ...followDeps, node: cfg.node });
+  /** Takes a target for dead that another entry lost, unless it takes a connection from here. */
+  async function confirmDead(target: ServingTarget) {
+    if (await takesConnection(target.address, confirmTimeoutMs)) return;
+    selector.failed(target.id);
+    load.unreachable(target.id);
+  }
+
+  const crashTable = createCrashTable({
+    ...followDeps,
+    node: cfg.node,
+    onCrash(life) {
+      const target = targets.all.find((other) => lifeOf(other) === life);
+      if (target) confirmDead(target);
+    },
+  });
   const crashes = createCrashWatch({
     log, exchanger, protocol: ports.targets, crashes: crashTable,
   });
@@ -186,7 +201,14 @@
   });
 
   const chains = createChainWatch({
-    clock, log, takesConnection, onDead: ({ id }) => selector.failed(id),
+    clock,
+    log,
+    takesConnection,
+    onDead(target) {
+      selector.failed(target.id);
+      load.unreachable(target.id);
+      crashTable.crashed({ target: lifeOf(target), fingerprints: [] });
+    },
   });
 
   const stateOf = createServiceStates({
@@ -207,15 +229,7 @@
       exchanger,
       protocol: ports.targets,
       ...stateOf(spec.service.name),
-      closed(outcome) {
-        metrics.requests.inc({ kind: spec.kind, outcome });
-      },
-      attemptFailed(end) {
-        metrics.attempts.inc({ end });
-      },
-      answerBegun(ms) {
-        metrics.firstByte.observe({ kind: spec.kind }, ms / millisecondsPerSecond);
-      },
+      ...metrics.ofRequest(spec),
     });
     runs.add(started);
     res.once('close', () => {
@@ -232,32 +246,19 @@
   const isStopTooNear = (spec: Omit<RequestSpec, 'body'>) => stoppingAt !== undefined
     && isTooLate(spec, { startedAt: stoppingAt, graceMs: options.graceMs });
 
-  async function handle(req: IncomingMessage, res: ServerResponse) {
-    const arrivedAt = clock.now();
-    let caller: CallerRequest | undefined;
-    if (stoppingAt !== undefined) res.shouldKeepAlive = false;
-    try {
-      caller = callers.read(req);
-      if (!config.view) throw createRefusal('not_ready');
-      const { maxBodyBytes, maxHeaderBytes } = config.view.config.limits;
-      if (headerBytesOf(req) > maxHeaderBytes) throw createRefusal('headers_too_large');
-      const spec = specOf(config.view, caller, arrivedAt, random());
-      if (isStopTooNear(spec)) throw stoppingRefusal();
-      const body = hasBody(req) ? await readBody(req, maxBodyBytes) : undefined;
-      if (crashes.isPoison({ ...spec, body })) throw createRefusal('quarantined');
-      if (!res.destroyed) run({ ...spec, body }, res);
-    } catch (err) {
-      // The rest of a body that nobody reads must not be taken for the next request.
-      if (!req.complete) res.shouldKeepAlive = false;
-      const refusal = toRefusal(err);
-      const reason = BaseError.normalize(err).message;
-      requestLog.info({
-        req: caller?.id, code: refusal.code, reason, version: config.view?.config.version,
-      }, 'request refused');
-      metrics.requests.inc({ kind: 'none', outcome: refusal.code });
-      if (!res.headersSent) callers.refuse(res, refusal, caller?.id);
-    }
-  }
+  const handle = createCallerHandler({
+    clock,
+    random,
+    log: requestLog,
+    metrics,
+    callers,
+    readBody,
+    view: () => config.view,
+    isStopping: () => stoppingAt !== undefined,
+    stopRefusal: (spec) => (isStopTooNear(spec) ? stoppingRefusal() : undefined),
+    isPoison: crashes.isPoison,
+    run,
+  });
 
   const isReady = () => config.view !== undefined && stoppingAt === undefined;
   server = await serveCallers(cfg.front, handle);
--- /dev/null
+++ b/packages/gateway/src/http/caller-handler.ts
@@ -0,0 +1,80 @@
+/** Takes callers' requests in: what can't be served is refused before anything is sent. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import {
+  BaseError, createRefusal, toRefusal, type Clock, type Refusal, type ServingView,
+} from '@verbenashunt/core';
+import { hasBody, type BodyReader } from '@verbenashunt/wire';
+import type { GatewayMetrics } from '../metrics.js';
+import type { CallerProtocol, CallerRequest } from '../ports.js';
+import type { RequestLog } from '../requests/request-log.js';
+import { specOf } from '../requests/spec-of.js';
+import type { RequestSpec } from '../requests/spec.js';
+import { headerBytesOf } from './server.js';
+
+export interface CallerHandlerDeps {
+  clock: Clock;
+  random: () => number;
+  log: RequestLog;
+  metrics: GatewayMetrics;
+  callers: CallerProtocol;
+  readBody: BodyReader;
+  /** Configuration in force; undefined before the first. */
+  view(): ServingView | undefined;
+  /** The entry stops. */
+  isStopping(): boolean;
+  /** The refusal of a request that a stopping entry does not begin any more. */
+  stopRefusal(spec: Omit<RequestSpec, 'body'>): Refusal | undefined;
+  /** The request crashes the targets that run it. */
+  isPoison(spec: RequestSpec): boolean;
+  run(spec: RequestSpec, res: ServerResponse): void;
+}
+
+export function createCallerHandler(deps: CallerHandlerDeps) {
+  const { callers } = deps;
+
+  /** The request with its body; throws a refusal. */
+  async function admit(
+    req: IncomingMessage,
+    caller: CallerRequest,
+    arrivedAt: number,
+  ): Promise<RequestSpec> {
+    const view = deps.view();
+    if (!view) throw createRefusal('not_ready');
+    const { maxBodyBytes, maxHeaderBytes } = view.config.limits;
+    if (headerBytesOf(req) > maxHeaderBytes) throw createRefusal('headers_too_large');
+    const head = specOf(view, caller, arrivedAt, deps.random());
+    const stopped = deps.stopRefusal(head);
+    if (stopped) throw stopped;
+    const body = hasBody(req) ? await deps.readBody(req, maxBodyBytes) : undefined;
+    const spec = { ...head, body };
+    if (deps.isPoison(spec)) throw createRefusal('quarantined');
+    return spec;
+  }
+
+  function refuse(res: ServerResponse, caller: CallerRequest | undefined, err: unknown) {
+    const refusal = toRefusal(err);
+    deps.log.info({
+      req: caller?.id,
+      code: refusal.code,
+      reason: BaseError.normalize(err).message,
+      version: deps.view()?.config.version,
+    }, 'request refused');
+    deps.metrics.refused(refusal.code);
+    if (!res.headersSent) callers.refuse(res, refusal, caller?.id);
+  }
+
+  return async function handle(req: IncomingMessage, res: ServerResponse) {
+    const arrivedAt = deps.clock.now();
+    let caller: CallerRequest | undefined;
+    if (deps.isStopping()) res.shouldKeepAlive = false;
+    try {
+      caller = callers.read(req);
+      const spec = await admit(req, caller, arrivedAt);
+      if (!res.destroyed) deps.run(spec, res);
+    } catch (err) {
+      // The rest of a body that nobody reads must not be taken for the next request.
+      if (!req.complete) res.shouldKeepAlive = false;
+      refuse(res, caller, err);
+    }
+  };
+}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,6 @@
 /** An entry that calls targets directly, behind ports for the platform that it runs on. */
 export * from './gateway.js';
+export * from './metrics.js';
 export type * from './ports.js';
 export * from './store/follow.js';
 export * from './store/lease-keeper.js';
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -2,9 +2,25 @@
 import {
   Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import type { AttemptEnd, RequestKind } from '@verbenashunt/core';
 
-/** Buckets of the times to the first byte and to the end in seconds. */
+/** Buckets of the times to the first byte in seconds. */
 const secondsBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1, 1.5, 2, 4, 8, 20];
+const millisecondsPerSecond = 1000;
+/** Organisations that are counted by name; the next ones share one name. */
+const maxOrganisations = 200;
+/** Name of requests whose route needs no key, and of organisations beyond the bound. */
+const noOrganisation = 'none';
+const otherOrganisations = 'other';
+
+/** What a request counts. */
+export interface RequestMetrics {
+  /** The request is over, with its outcome. */
+  closed(outcome: string): void;
+  attemptFailed(end: AttemptEnd): void;
+  /** The first byte of the answer goes to the caller, this long after the request. */
+  answerBegun(ms: number): void;
+}
 
 export function createGatewayMetrics() {
   const registry = new Registry();
@@ -12,6 +28,9 @@
   const requests = new Counter({
     name: 'verbenashunt_gateway_requests_total', help: 'Requests that ended, by route kind and outcome.', labelNames: ['kind', 'outcome'], registers,
   });
+  const byOrganisation = new Counter({
+    name: 'verbenashunt_gateway_organisation_requests_total', help: 'Requests that ended, by organisation and outcome.', labelNames: ['organisation', 'outcome'], registers,
+  });
   const attempts = new Counter({
     name: 'verbenashunt_gateway_failed_attempts_total', help: 'Attempts at targets without an answer, by how they ended.', labelNames: ['end'], registers,
   });
@@ -24,8 +43,32 @@
   const targets = new Gauge({
     name: 'verbenashunt_gateway_targets', help: 'Targets known, by service.', labelNames: ['service'], registers,
   });
+  const organisations = new Set<string>();
+
+  function labelOf(organisation: string | undefined): string {
+    if (organisation === undefined) return noOrganisation;
+    if (organisations.size < maxOrganisations) organisations.add(organisation);
+    return organisations.has(organisation) ? organisation : otherOrganisations;
+  }
+
   return {
-    registry, requests, attempts, firstByte, config, targets,
+    registry,
+    config,
+    targets,
+    /** A request was refused before its route was known to serve it. */
+    refused: (outcome: string) => requests.inc({ kind: 'none', outcome }),
+    ofRequest({ kind, organisation }: {
+      kind: RequestKind; organisation: string | undefined;
+    }): RequestMetrics {
+      return {
+        closed(outcome) {
+          requests.inc({ kind, outcome });
+          byOrganisation.inc({ organisation: labelOf(organisation), outcome });
+        },
+        attemptFailed: (end) => attempts.inc({ end }),
+        answerBegun: (ms) => firstByte.observe({ kind }, ms / millisecondsPerSecond),
+      };
+    },
   };
 }
 
--- a/packages/gateway/src/requests/chain-watch.ts
+++ b/packages/gateway/src/requests/chain-watch.ts
@@ -48,8 +48,6 @@
 const slackMs = 10;
 /** Time for a target to take a connection in milliseconds; targets of a zone take under one. */
 const connectTimeoutMs = 15;
-/** Connections at once, so that one lost packet makes no target dead. */
-const connections = 2;
 /** Time between looks at one chain in milliseconds. */
 const againMs = 200;
 
@@ -67,17 +65,10 @@
   let cancel: CancelTimer = () => {};
   let isClosed = false;
 
-  async function isDead({ address }: ServingTarget): Promise<boolean> {
-    const taken = await Promise.all(Array.from(
-      { length: connections },
-      () => takesConnection(address, connectTimeoutMs),
-    ));
-    return !taken.includes(true);
-  }
-
   async function look(key: string, parts: readonly ServingTarget[], quietMs: number) {
-    const states = await Promise.all(parts.map(isDead));
-    const dead = parts.filter((_, i) => states[i]);
+    const taken = await Promise.all(parts
+      .map(({ address }) => takesConnection(address, connectTimeoutMs)));
+    const dead = parts.filter((_, i) => !taken[i]);
     // Where most can't be reached, the fault lies on this side.
     if (dead.length === 0 || dead.length > parts.length / 2) return;
     const stalled = [...streams].filter((stream) => keyOf(stream) === key);
--- a/packages/gateway/src/requests/crash-watch.ts
+++ b/packages/gateway/src/requests/crash-watch.ts
@@ -4,7 +4,9 @@
  */
 import { createHash } from 'node:crypto';
 import type { Logger } from 'pino';
-import { errorFields, TargetError, type ServingTarget } from '@verbenashunt/core';
+import {
+  errorFields, lifeOf, TargetError, type ServingTarget,
+} from '@verbenashunt/core';
 import { askReport, type ReportDeps } from '../routing/report.js';
 import type { CrashTable } from '../store/crash-table.js';
 import type { RequestSpec } from './spec.js';
@@ -55,7 +57,7 @@
         target: target.id, requests: fingerprints.size, ...errorFields(err),
       }, 'target crashed with requests');
       crashes.crashed({
-        target: `${target.id}.${target.startedAt ?? ''}`, fingerprints: [...fingerprints],
+        target: lifeOf(target), fingerprints: [...fingerprints],
       });
     } finally {
       asking.delete(target.id);
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -5,42 +5,35 @@
   type AttemptEnd, type CancelTimer, type Clock, type LifeStep, type RefusalCode,
   type RetryWindow, type StreamEvent,
 } from '@verbenashunt/core';
+import type { RequestMetrics } from '../metrics.js';
 import { chooseOnTime, retryAfterOf } from '../routing/admission.js';
 import type { Choice, Selector } from '../routing/selector.js';
 import {
   startAttempt, type Attempt, type AttemptDeps, type AttemptFailure,
 } from './attempt.js';
-import type { ChainWatch } from './chain-watch.js';
 import type { CrashWatch } from './crash-watch.js';
 import type { StreamProgress, TargetProgress } from './progress.js';
 import type { RequestLog } from './request-log.js';
 import { createRerouter } from './reroute.js';
 import type { ResumeQueue } from './resume-queue.js';
-import { muteLimitMs, quietLimitMs } from './silence.js';
-import type { StallWatch } from './stall-watch.js';
+import { muteLimitMs } from './silence.js';
+import { watchStream, type StreamWatchDeps } from './stream-watch.js';
 import { createStreamTiming } from './stream-timing.js';
 import type {
   AnswerSink, AnswerWriter, RequestRun, RequestSpec, WholeAnswer,
 } from './spec.js';
 
-export interface RunDeps extends AttemptDeps {
+export interface RunDeps extends AttemptDeps, RequestMetrics, StreamWatchDeps {
   clock: Clock;
   random: () => number;
   log: RequestLog;
   selector: Selector;
-  stalls: StallWatch;
-  chains: ChainWatch;
   crashes: CrashWatch;
   progress: TargetProgress;
   /** Repeats to the request's service. */
   retries: RetryWindow;
   /** Turns of the service's begun streams that look for a chain again. */
   resumes: ResumeQueue;
-  /** The request is over, with its outcome. */
-  closed(outcome: string): void;
-  attemptFailed(end: AttemptEnd): void;
-  /** The first byte of the answer goes to the caller, this long after the request. */
-  answerBegun(ms: number): void;
 }
 
 /** Time that must be left for another attempt in milliseconds. */
@@ -277,30 +270,23 @@
   }
 
   function watch() {
-    if (spec.kind !== 'stream' || !spec.service.engine) return;
+    if (spec.kind !== 'stream') return;
     heardAt = clock.now();
-    const cancelChain = deps.chains.watch({
-      parts: () => choice!.parts,
-      heardAt: () => (progress?.hasBegun ? heardAt : undefined),
-      gapMs: () => progress?.gapMs,
-      stalledBy: rerouter.stalledBy,
-    });
-    const cancelStall = deps.stalls.watch({
-      requestId: spec.caller.id,
-      target: choice!.target,
+    progress = deps.progress.start(choice!.target.id, heardAt);
+    if (!spec.service.engine) return;
+    cancelWatch = watchStream({
+      spec,
+      choice: () => choice!,
+      progress,
+      isDelivered: life.delivered,
       quietSince: () => heardAt,
-      maxQuietMs: quietLimitMs(spec.route, life.delivered),
       stalledBy: rerouter.stalledBy,
       silentFor,
       lost() {
         selector.failed(choice!.target.id);
         abandon('the first target gave no report');
       },
-    });
-    cancelWatch = () => {
-      cancelChain();
-      cancelStall();
-    };
+    }, deps);
   }
 
   /** Ends a try that takes too long for a call that may be repeated, where another is possible. */
@@ -317,9 +303,6 @@
     release = selector.hold(choice, spec);
     boundTry();
     watch();
-    progress = spec.kind === 'stream'
-      ? deps.progress.start(choice.target.id, clock.now())
-      : undefined;
     attempt = startAttempt({
       caller: spec.caller,
       body: spec.body,
--- a/packages/gateway/src/routing/load-monitor.ts
+++ b/packages/gateway/src/routing/load-monitor.ts
@@ -31,6 +31,8 @@
   isDead(id: string): boolean;
   /** Asks a target soon, since a request found it failing. */
   check(id: string): void;
+  /** The target takes no connection. */
+  unreachable(id: string): void;
   close(): void;
 }
 
@@ -145,6 +147,12 @@
       const state = known.get(id);
       if (state) state.dueAt = 0;
     },
+    unreachable(id) {
+      const state = known.get(id);
+      if (!state || state.misses >= maxMisses) return;
+      log.warn({ target: id }, 'target is dead, as it takes no connection');
+      Object.assign(state, { misses: maxMisses, dueAt: clock.now() + deadPeriodMs });
+    },
     close() {
       isClosed = true;
       cancel();
--- a/packages/gateway/src/store/crash-table.ts
+++ b/packages/gateway/src/store/crash-table.ts
@@ -21,6 +21,8 @@
   log: Logger;
   store: RowStore;
   node: string;
+  /** Another entry saw a life of a target end. */
+  onCrash(target: string): void;
 }
 
 export interface CrashTable {
@@ -38,6 +40,8 @@
     clock, log, store, node,
   } = deps;
   const book = createCrashBook(clock);
+  /** Lives of targets that are known to have ended, a few a day. */
+  const known = new Set<string>();
   let own: CrashRecord | undefined;
   let cancel: CancelTimer | undefined;
   let isClosed = false;
@@ -58,6 +62,10 @@
     const found = decode(row);
     if (isOwn) own = found;
     book.put(row.key, found);
+    found?.crashes.filter(({ target }) => !known.has(target)).forEach(({ target }) => {
+      known.add(target);
+      deps.onCrash(target);
+    });
   }
 
   async function write() {
--- a/packages/wire/src/reach.ts
+++ b/packages/wire/src/reach.ts
@@ -1,8 +1,10 @@
 /** Whether a process listens at an address, as far as a connection tells. */
 import { connect } from 'node:net';
 
-/** Whether IP:PORT takes a connection within `timeoutMs`; the connection is closed at once. */
-export const takesConnection = (address: string, timeoutMs: number) => new Promise<boolean>(
+/** Connections at once, so that one lost packet makes no peer dead. */
+const connections = 2;
+
+const opens = (address: string, timeoutMs: number) => new Promise<boolean>(
   (resolve) => {
     const [host, port] = address.split(':');
     const socket = connect({ host: host!, port: Number(port) });
@@ -20,3 +22,12 @@
     });
   },
 );
+
+/** Whether IP:PORT takes a connection within `timeoutMs`; connections are closed at once. */
+export async function takesConnection(address: string, timeoutMs: number): Promise<boolean> {
+  const opened = await Promise.all(Array.from(
+    { length: connections },
+    () => opens(address, timeoutMs),
+  ));
+  return opened.includes(true);
+}
--- a/test/gateway/chain-watch.test.ts
+++ b/test/gateway/chain-watch.test.ts
@@ -79,7 +79,7 @@
 test('a slow chain whose targets all live is looked into a few times a second, and stays', async () => {
   const it = begin([]);
   await it.pass(1000);
-  expect(it.connected.length).toBeLessThanOrEqual(5 * 2 * parts.length);
+  expect(it.connected.length).toBeLessThanOrEqual(5 * parts.length);
   expect([it.dead, it.stalled]).toEqual([[], []]);
 });
 
--- /dev/null
+++ b/test/gateway/metrics.test.ts
@@ -0,0 +1,36 @@
+/** Figures of a gateway: by kind, by organisation, bounded in number. */
+import { expect, test } from 'vitest';
+import { createGatewayMetrics } from '@verbenashunt/gateway';
+
+const countsOf = async (metrics: ReturnType<typeof createGatewayMetrics>) => {
+  const { values } = await metrics.registry
+    .getSingleMetric('verbenashunt_gateway_organisation_requests_total')!.get();
+  return new Map(values.map(({ labels, value }) => [
+    `${labels.organisation} ${labels.outcome}`, value,
+  ]));
+};
+
+test('requests by organisation and outcome', async () => {
+  const metrics = createGatewayMetrics();
+  metrics.ofRequest({ kind: 'once', organisation: 'a' }).closed('answered');
+  metrics.ofRequest({ kind: 'stream', organisation: 'a' }).closed('answered');
+  metrics.ofRequest({ kind: 'stream', organisation: undefined }).closed('cut');
+  expect(await countsOf(metrics)).toEqual(new Map([['a answered', 2], ['none cut', 1]]));
+});
+
+test('two hundred organisations by name, the next ones together', async () => {
+  const metrics = createGatewayMetrics();
+  Array.from({ length: 1200 }, (_, i) => metrics
+    .ofRequest({ kind: 'once', organisation: `org-${i}` }).closed('answered'));
+  const counts = await countsOf(metrics);
+  expect(counts.size).toBe(201);
+  expect(counts.get('other answered')).toBe(1000);
+});
+
+test('the time to the first byte by kind', async () => {
+  const metrics = createGatewayMetrics();
+  metrics.ofRequest({ kind: 'stream', organisation: 'a' }).answerBegun(40);
+  const text = await metrics.registry.metrics();
+  expect(text).toContain('verbenashunt_gateway_first_byte_seconds_bucket{le="0.05",kind="stream"} 1');
+  expect(text).toContain('verbenashunt_gateway_first_byte_seconds_bucket{le="0.025",kind="stream"} 0');
+});
