--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,6 +2,7 @@
 export * from './gateway.js';
 export * from './metrics.js';
 export type * from './ports.js';
+export * from './store/crash-table.js';
 export * from './store/follow.js';
 export * from './store/lease-keeper.js';
 export * from './store/target-list.js';
