Bound what is kept of targets; one fixture for the cards of a deployment

- Target health and the latest stream of a target kept an entry for each target id ever seen, for the life of the process: the least recently used of 4,096 drop out (test/serving/health: 20,000 targets that come and go).
- Two tests of placement described the same cards: test/support/cards.
- A type error in test/gateway/chain-watch, which the build does not look at.

--- a/packages/core/src/serving/health.ts
+++ b/packages/core/src/serving/health.ts
@@ -2,6 +2,7 @@
  * Targets that requests found dead or failing. A target is avoided for a short time after a failure
  * that tells of the whole target, longer with each one in a row; a success ends that.
  */
+import QuickLRU from 'quick-lru';
 import type { Clock } from '../clock/clock.js';
 
 export interface TargetHealth {
@@ -23,6 +24,8 @@
   until: number;
 }
 
+/** Targets that something is kept of; ids of targets that are gone drop out. */
+const maxTargets = 4096;
 /** Time for which a target is avoided after its first failure in milliseconds. */
 const firstAvoidMs = 500;
 /** Time for which a target is avoided at the most; recovery is noticed within it. */
@@ -40,9 +43,9 @@
 const errorsAfter = maxErrors - 1;
 
 export function createTargetHealth(clock: Clock): TargetHealth {
-  const errors = new Map<string, number>();
-  const suspicions = new Map<string, Suspicion>();
-  const doubts = new Map<string, number>();
+  const errors = new QuickLRU<string, number>({ maxSize: maxTargets });
+  const suspicions = new QuickLRU<string, Suspicion>({ maxSize: maxTargets });
+  const doubts = new QuickLRU<string, number>({ maxSize: maxTargets });
 
   const isSuspect = (id: string) => (suspicions.get(id)?.until ?? 0) > clock.now();
 
--- a/packages/gateway/src/requests/progress.ts
+++ b/packages/gateway/src/requests/progress.ts
@@ -3,6 +3,8 @@
  * waits there for its first event, how long for each further one, and whether one was dropped. All
  * entries' streams share a target, so each sees the load of all without asking.
  */
+import QuickLRU from 'quick-lru';
+
 export interface StreamProgress {
   readonly hasBegun: boolean;
   /** Time between the last two events in milliseconds; undefined before the second. */
@@ -53,6 +55,8 @@
   tookMs: number;
 }
 
+/** Targets whose latest stream is kept; ids of targets that are gone drop out. */
+const maxTargets = 4096;
 /** Times the wait of one that was sent later after which a stream counts as dropped. */
 const droppedFactor = 4;
 /** Pause between events, as a share of the longest on time, at which a target takes no more. */
@@ -68,7 +72,7 @@
 export function createTargetProgress(): TargetProgress {
   const streams = new Map<string, Set<Stream>>();
   /** The latest sent stream that has begun, by target. */
-  const latest = new Map<string, Begun>();
+  const latest = new QuickLRU<string, Begun>({ maxSize: maxTargets });
 
   const streamsAt = (target: string) => [...streams.get(target) ?? []];
 
--- a/test/gateway/chain-watch.test.ts
+++ b/test/gateway/chain-watch.test.ts
@@ -31,7 +31,7 @@
     onDead: ({ id }) => dead.push(id),
     async takesConnection(address) {
       connected.push(address);
-      return !unreachable.includes(address.split(':')[0]);
+      return !unreachable.some((id) => address.startsWith(`${id}:`));
     },
   });
   Array.from({ length: streams }, (_, i) => watch.watch({
--- a/test/serving/copies.test.ts
+++ b/test/serving/copies.test.ts
@@ -1,47 +1,13 @@
 /** What copies of ranges do for callers when targets are lost, on the cards of a deployment. */
 import { expect, test } from 'vitest';
 import {
-  chooseServingChain, holesIn, planLayers, type EngineModel, type LayerHost, type ServingTarget,
+  chooseServingChain, holesIn, planLayers, type ServingTarget,
 } from '@verbenashunt/core';
+import { engine, threeZones, type Card } from '../support/cards.js';
 
-const kinds = {
-  large: { memoryMb: 36_000, stepFactor: 3.1, readFactor: 3.2 },
-  middle: { memoryMb: 21_600, stepFactor: 16, readFactor: 8.2 },
-  small: { memoryMb: 14_400, stepFactor: 15, readFactor: 15 },
-} as const;
-
-type Kind = keyof typeof kinds;
-
-const engine: EngineModel = {
-  layers: 80,
-  layerMb: 1750,
-  kvTokenBytes: 657_671,
-  slots: 134,
-  stepMs: 0.85,
-  sequenceMs: 0.004,
-  contextMsPerK: 0.005,
-  readTokensPerS: 252_000,
-  loadS: 14,
-  loadsAtOnce: 6,
-  activationBytes: 32_811,
-  pipeMbps: 7900,
-  usual: { prompt: 772, answer: 154 },
-  kinds: (Object.keys(kinds) as Kind[]).map((name) => ({ name, ...kinds[name] })),
-  delays: [],
-};
 const size = { promptTokens: 772, answerTokens: 154 };
 const streams = 40;
 
-interface Card extends LayerHost {
-  kind: Kind;
-}
-
-const cards = (...counts: [Kind, number][]): Card[] => counts
-  .flatMap(([kind, n]) => Array(n).fill(kind) as Kind[])
-  .map((kind, i) => ({
-    id: `${kind}-${i}`, zone: 'a', held: undefined, kind, ...kinds[kind],
-  }));
-
 /** The cards with the layers that plans give them, carried out until nothing is left to do. */
 function laid(hosts: readonly Card[], rounds = 10): Card[] {
   const planned = new Map(planLayers(engine, hosts).map(({ id, lo, hi }) => [id, { lo, hi }]));
@@ -49,11 +15,13 @@
   return planned.size === 0 || rounds === 0 ? next : laid(next, rounds - 1);
 }
 
-const toTarget = ({ id, kind, held }: Card): ServingTarget => ({
+const toTarget = ({
+  id, zone, kind, held,
+}: Card): ServingTarget => ({
   id,
   service: 'pool',
   address: id,
-  zone: 'a',
+  zone,
   draining: false,
   slots: 134,
   kind,
@@ -67,7 +35,12 @@
   const targets = hosts.map(toTarget);
   return Array.from({ length: streams }, () => {
     const stages = chooseServingChain({
-      engine, targets, size, zone: 'a', tokensAt: (id) => tokens.get(id) ?? 0, slowdownOf: () => 1,
+      engine,
+      targets,
+      size,
+      zone: hosts[0]!.zone,
+      tokensAt: (id) => tokens.get(id) ?? 0,
+      slowdownOf: () => 1,
     })!.map(({ node }) => node);
     stages.forEach((id) => tokens.set(
       id,
@@ -81,11 +54,9 @@
 const shareAt = (chains: string[][], id: string) => chains
   .filter((stages) => stages.includes(id)).length / chains.length;
 
-const zones: [string, Card[]][] = [
-  ['a', cards(['large', 3], ['middle', 3], ['small', 5])],
-  ['b', cards(['large', 1], ['middle', 5], ['small', 8])],
-  ['c', cards(['large', 1], ['middle', 7], ['small', 5])],
-];
+const zones = ['a', 'b', 'c'].map((zone): [string, Card[]] => [
+  zone, threeZones.filter((card) => card.zone === zone),
+]);
 
 test.each(zones)('zone %s: streams begin at several targets alike', (_, hosts) => {
   const chains = play(laid(hosts));
--- a/test/serving/health.test.ts
+++ b/test/serving/health.test.ts
@@ -69,3 +69,9 @@
 test('one that errs no more is used again', () => {
   expect(shareAt((i) => i < 40 && i % 2 === 0)).toBeGreaterThan(0.75);
 });
+
+test('what is kept stays bounded, however many targets come and go', () => {
+  const { health } = begin();
+  Array.from({ length: 20_000 }, (_, i) => health.failed(`target-${i}`));
+  expect([health.isSuspect('target-0'), health.isSuspect('target-19999')]).toEqual([false, true]);
+});
--- a/test/serving/zone-plan.test.ts
+++ b/test/serving/zone-plan.test.ts
@@ -2,37 +2,9 @@
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
 import {
-  chainGroups, holesIn, kvTokensBeside, lengthOf, planLayers,
-  type EngineModel, type LayerHost, type LayerRange,
+  chainGroups, holesIn, kvTokensBeside, lengthOf, planLayers, type LayerHost, type LayerRange,
 } from '@verbenashunt/core';
-
-const engine: EngineModel = {
-  layers: 80,
-  layerMb: 1750,
-  kvTokenBytes: 657_671,
-  slots: 134,
-  stepMs: 0.85,
-  sequenceMs: 0.004,
-  contextMsPerK: 0.005,
-  readTokensPerS: 252_000,
-  loadS: 14,
-  loadsAtOnce: 6,
-  activationBytes: 32_811,
-  pipeMbps: 7900,
-  usual: { prompt: 772, answer: 154 },
-  kinds: [],
-  delays: [],
-};
-
-const cards = { large: [36_000, 3.1], middle: [21_600, 16], small: [14_400, 15] } as const;
-
-const hostsOf = (zone: string, large: number, middle: number, small: number) => [
-  ...Array(large).fill('large'), ...Array(middle).fill('middle'), ...Array(small).fill('small'),
-].map((card: keyof typeof cards, i): LayerHost => ({
-  id: `${zone}-${card}-${i}`, zone, memoryMb: cards[card][0], stepFactor: cards[card][1], held: undefined,
-}));
-
-const threeZones = [...hostsOf('a', 3, 3, 5), ...hostsOf('b', 1, 5, 8), ...hostsOf('c', 1, 7, 5)];
+import { cardsOf, engine, threeZones } from '../support/cards.js';
 
 type Options = Parameters<typeof planLayers>[2];
 
@@ -75,12 +47,12 @@
 test('no more than fits, whatever the fleet', () => {
   fc.assert(fc.property(
     fc.array(fc.record({
-      zone: fc.constantFrom('a', 'b', 'c'), card: fc.constantFrom(...Object.keys(cards) as (keyof typeof cards)[]),
+      zone: fc.constantFrom('a', 'b', 'c'), kind: fc.constantFrom(...engine.kinds),
     }), { maxLength: 60 }),
     fc.array(fc.nat(59)),
     (fleet, lost) => {
-      const hosts = fleet.map(({ zone, card }, i): LayerHost => ({
-        id: String(i), zone, memoryMb: cards[card][0], stepFactor: cards[card][1], held: undefined,
+      const hosts = fleet.map(({ zone, kind: { memoryMb, stepFactor } }, i): LayerHost => ({
+        id: String(i), zone, memoryMb, stepFactor, held: undefined,
       }));
       const after = settle(without(settle(hosts), ...lost.map(String)));
       after.forEach(({ held, memoryMb }) => {
@@ -94,7 +66,7 @@
 });
 
 test('zones that cannot hold the model alone are joined', () => {
-  const hosts = [...hostsOf('a', 1, 2, 3), ...hostsOf('b', 1, 2, 3), ...hostsOf('c', 3, 3, 5)];
+  const hosts = [...cardsOf('a', 1, 2, 3), ...cardsOf('b', 1, 2, 3), ...cardsOf('c', 3, 3, 5)];
   const zones = chainGroups(engine, hosts).map((group) => new Set(group.map(({ zone }) => zone)));
   expect(zones.map(({ size }) => size)).toEqual([1, 2]);
   const after = settle(hosts);
@@ -102,7 +74,7 @@
 });
 
 test('too small a fleet is ordered nothing', () => {
-  expect(planLayers(engine, hostsOf('a', 1, 1, 1))).toEqual([]);
+  expect(planLayers(engine, cardsOf('a', 1, 1, 1))).toEqual([]);
 });
 
 const eachLost = placed.map(({ id, zone }): [string, string] => [id, zone]);
--- /dev/null
+++ b/test/support/cards.ts
@@ -0,0 +1,51 @@
+/** The accelerators and the model of a deployment, for tests of placement. */
+import type { EngineModel, LayerHost } from '@verbenashunt/core';
+
+const kinds = {
+  large: { memoryMb: 36_000, stepFactor: 3.1, readFactor: 3.2 },
+  middle: { memoryMb: 21_600, stepFactor: 16, readFactor: 8.2 },
+  small: { memoryMb: 14_400, stepFactor: 15, readFactor: 15 },
+} as const;
+
+export type Kind = keyof typeof kinds;
+
+export interface Card extends LayerHost {
+  kind: Kind;
+}
+
+export const engine: EngineModel = {
+  layers: 80,
+  layerMb: 1750,
+  kvTokenBytes: 657_671,
+  slots: 134,
+  stepMs: 0.85,
+  sequenceMs: 0.004,
+  contextMsPerK: 0.005,
+  readTokensPerS: 252_000,
+  loadS: 14,
+  loadsAtOnce: 6,
+  activationBytes: 32_811,
+  pipeMbps: 7900,
+  usual: { prompt: 772, answer: 154 },
+  kinds: (Object.keys(kinds) as Kind[]).map((name) => ({ name, ...kinds[name] })),
+  delays: [],
+};
+
+/** Cards of one zone that hold nothing, named after zone, kind and number. */
+export const cardsOf = (zone: string, large: number, middle: number, small: number): Card[] => [
+  ...Array<Kind>(large).fill('large'),
+  ...Array<Kind>(middle).fill('middle'),
+  ...Array<Kind>(small).fill('small'),
+].map((kind, i) => ({
+  id: `${zone}-${kind}-${i}`,
+  zone,
+  kind,
+  held: undefined,
+  memoryMb: kinds[kind].memoryMb,
+  stepFactor: kinds[kind].stepFactor,
+}));
+
+/** The three zones of a deployment. */
+export const threeZones = [
+  ...cardsOf('a', 3, 3, 5), ...cardsOf('b', 1, 5, 8), ...cardsOf('c', 1, 7, 5),
+];
