Give no orders without the lease while the store answers

An entry without the lease took the store for out of reach 3.0 s after its last read, and reads it every 3.1 to 3.6 s when all is calm: for a part of each period it might add to the placement beside the holder.

Ruled out: a store out of reach (no line told of it), a lease held twice.

Change: the lease counts as orphaned only after a call that failed, and no answer for the lease's time.

--- a/packages/gateway/src/store/lease-keeper.ts
+++ b/packages/gateway/src/store/lease-keeper.ts
@@ -87,6 +87,8 @@
   /** Newest token read or written. */
   let seenToken = 0;
   let heardAt = clock.now();
+  /** The last call to the store failed. */
+  let isFailing = false;
   let isLeaving = false;
   let isClosed = false;
   /** A step is under way; `isDue`: another is to follow at once. */
@@ -101,6 +103,7 @@
 
   function heard(token: number) {
     heardAt = clock.now();
+    isFailing = false;
     seenToken = Math.max(seenToken, token);
   }
 
@@ -163,6 +166,8 @@
     try {
       waitMs = await step();
     } catch (err) {
+      // A conflict is an answer: another entry was faster.
+      isFailing = !(err instanceof ConflictError);
       log.info(errorFields(err), 'lease not settled');
     }
     isRunning = false;
@@ -188,7 +193,7 @@
 
   return {
     right() {
-      const isOrphaned = clock.now() - heardAt > leaseTtlMs;
+      const isOrphaned = isFailing && clock.now() - heardAt > leaseTtlMs;
       const token = isOrphaned ? seenToken : held?.token ?? 0;
       return token > highestFenced ? { token, isOrphaned } : undefined;
     },
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -151,6 +151,21 @@
   });
 });
 
+test('an entry that waits for its next read of the lease gives no orders', async () => {
+  const a = keep('a');
+  await settled(() => expect(a.right()?.token).toBe(1));
+  const b = keep('b');
+  await settled(() => expect(b.entries()).toBe(2));
+  const seen: unknown[] = [];
+  const sample = setInterval(() => seen.push(b.right()), 10);
+  closers.push(() => clearInterval(sample));
+  await new Promise((resolve) => {
+    setTimeout(resolve, 8000);
+  });
+  expect(seen.length).toBeGreaterThan(100);
+  expect(seen.filter((right) => right !== undefined)).toEqual([]);
+});
+
 test('taken over once it has lapsed, under a higher token', async () => {
   const a = keep('a');
   await settled(() => expect(a.right()?.token).toBe(1));
