Take a full target for full, also before its first report

Entries that had no report yet took each refusal for a target that leaves; two such, and the holder of the lease moved three copies in place of a large target that was well (entries' logs, 36.1 to 36.9 s).

Ruled out: dead targets (they answered), the copies themselves.

Change: where nothing is known, a refusal may be for want of memory and counts as a doubt; a target that may be full is not planned without.

Tests: test/gateway/load-monitor ('before its first report' fails without it), test/gateway/selector.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -197,7 +197,8 @@
     exchanger,
     protocol: ports.targets,
     isDead: load.isDead,
-    isFailing: selector.health.isFailing,
+    // A target that is only full keeps what it holds.
+    isFailing: (id) => selector.health.isFailing(id) && !load.mayBeFull(id),
   });
 
   const chains = createChainWatch({
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -11,5 +11,6 @@
 export * from './requests/stop-window.js';
 export * from './requests/progress.js';
 export * from './requests/request-log.js';
+export * from './routing/load-monitor.js';
 export * from './routing/selector.js';
 export type * from './requests/spec.js';
--- a/packages/gateway/src/routing/load-monitor.ts
+++ b/packages/gateway/src/routing/load-monitor.ts
@@ -25,8 +25,8 @@
   tokensAt(id: string): number;
   /** Factor on a target's time; 1 when healthy or not known. */
   slowdownOf(id: string): number;
-  /** Whether a refusal of the target may be for want of KV memory. */
-  isFull(id: string): boolean;
+  /** Whether a refusal of the target may be for want of KV memory; so where nothing is known. */
+  mayBeFull(id: string): boolean;
   /** The target gave no report several times in a row. */
   isDead(id: string): boolean;
   /** Asks a target soon, since a request found it failing. */
@@ -141,7 +141,10 @@
         : correctedActive(state.reported, state.ownAtReport, own);
     },
     slowdownOf: (id) => Math.max(1, known.get(id)?.slowdown ?? 1),
-    isFull: (id) => (known.get(id)?.fullness ?? 0) >= fullShare,
+    mayBeFull(id) {
+      const state = known.get(id);
+      return state?.reported === undefined || state.fullness >= fullShare;
+    },
     isDead: (id) => (known.get(id)?.misses ?? 0) >= maxMisses,
     check(id) {
       const state = known.get(id);
--- a/packages/gateway/src/routing/selector.ts
+++ b/packages/gateway/src/routing/selector.ts
@@ -24,7 +24,7 @@
   /** Entries that are thought to send work as this one does. */
   entries(): number;
   /** Load of engines; set once it is created, as it asks for this entry's own share. */
-  load(): Pick<LoadMonitor, 'tokensAt' | 'slowdownOf' | 'isFull' | 'isDead' | 'check'>;
+  load(): Pick<LoadMonitor, 'tokensAt' | 'slowdownOf' | 'mayBeFull' | 'isDead' | 'check'>;
 }
 
 /** Requests that a plain service is taken to run at once where it doesn't say. */
@@ -156,7 +156,7 @@
     /** A request was not run or not answered for a reason that lies at the target. */
     doubted(id: string, isBlamed: boolean) {
       // One that refuses with memory to spare is leaving, or holds other layers than known.
-      if (isBlamed && !deps.load().isFull(id)) health.failed(id);
+      if (isBlamed && !deps.load().mayBeFull(id)) health.failed(id);
       else health.doubted(id);
       if (isBlamed) deps.load().check(id);
     },
--- /dev/null
+++ b/test/gateway/load-monitor.test.ts
@@ -0,0 +1,69 @@
+/** What an entry knows of engines: by their reports, and before the first one. */
+import {
+  afterEach, expect, test, vi,
+} from 'vitest';
+import { pino } from 'pino';
+import { SystemClock, type ServingTarget } from '@verbenashunt/core';
+import { createLoadMonitor } from '@verbenashunt/gateway';
+import { createPlatformPorts } from '@verbenashunt/platform';
+import { startTarget } from '@verbenashunt/platform/stand-in';
+import { createExchanger } from '@verbenashunt/wire';
+
+const closers: (() => unknown)[] = [];
+
+afterEach(async () => {
+  await Promise.all(closers.splice(0).reverse().map((close) => close()));
+});
+
+async function begin() {
+  const engine = await startTarget({ id: 'engine-0', kind: 'card' });
+  engine.held = { from: 0, to: 8, version: 1 };
+  const target: ServingTarget = {
+    id: engine.id,
+    service: 'pool',
+    address: engine.address,
+    zone: 'zone-a',
+    draining: false,
+    slots: 8,
+    kind: 'card',
+    held: { lo: 0, hi: 8, version: 1 },
+    startedAt: 1,
+  };
+  const exchanger = createExchanger({ connectTimeoutMs: 300, keepAliveMs: 500 });
+  const load = createLoadMonitor({
+    clock: new SystemClock(),
+    log: pino({ level: 'silent' }),
+    exchanger,
+    protocol: createPlatformPorts('127.0.0.1:1').targets,
+    ownTokens: () => 0,
+    onHeld() {},
+    engines: () => [target],
+  });
+  closers.push(engine.close, exchanger.close, load.close);
+  return { engine, load, id: engine.id };
+}
+
+const within = { timeout: 8000, interval: 20 };
+
+test('before its first report a target may be full; after it, by its report', async () => {
+  const { load, id } = await begin();
+  expect(load.mayBeFull(id)).toBe(true);
+  await vi.waitFor(() => expect(load.mayBeFull(id)).toBe(false), within);
+});
+
+test('dead at once without a connection, and alive again by its report', async () => {
+  const { load, id } = await begin();
+  await vi.waitFor(() => expect(load.mayBeFull(id)).toBe(false), within);
+  load.unreachable(id);
+  expect(load.isDead(id)).toBe(true);
+  await vi.waitFor(() => expect(load.isDead(id)).toBe(false), within);
+});
+
+test('dead after three questions without an answer', async () => {
+  const { engine, load, id } = await begin();
+  await vi.waitFor(() => expect(load.mayBeFull(id)).toBe(false), within);
+  await engine.close();
+  expect(load.isDead(id)).toBe(false);
+  load.check(id);
+  await vi.waitFor(() => expect(load.isDead(id)).toBe(true), within);
+});
