--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -7,6 +7,7 @@
 } from '@verbenashunt/core';
 import type { RequestMetrics } from '../metrics.js';
 import { chooseOnTime, retryAfterOf } from '../routing/admission.js';
+import { blame } from '../routing/blame.js';
 import type { Choice, Selector } from '../routing/selector.js';
 import {
   startAttempt, type Attempt, type AttemptDeps, type AttemptFailure,
@@ -137,19 +138,13 @@
     const { end, reason, blamed } = failure;
     deps.attemptFailed(end);
     if (failure.isLost) deps.crashes.lost(spec, choice!.target);
-    const culprit = blamed === undefined
-      ? choice!.target.id
-      : selector.targetAt(spec.service, blamed)?.id;
     log.info({
       req: spec.caller.id, target: choice!.target.id, blamed, end, reason, last: order.last,
     }, 'attempt failed');
-    if (culprit !== undefined) {
-      avoid.add(culprit);
-      const isBlamed = blamed !== undefined;
-      if (end === 'unsent') selector.failed(culprit);
-      else if (end === 'not_run' || isBlamed) selector.doubted(culprit, isBlamed);
-      else selector.erred(culprit);
-    }
+    const culprit = blame(selector, {
+      service: spec.service, sentTo: choice!.target.id, end, blamed,
+    });
+    if (culprit !== undefined) avoid.add(culprit);
     life = afterAttempt(life, end);
     const isWanted = stepAfter(spec, life, end, true).do === 'try';
     // A begun stream may still find a chain; its caller has what was made so far.
