Drop lapsed targets that can't be reached; log nothing of tables after the stop

Calls that a stopping entry breaks off itself were logged as a lost table.

Change: a target that is kept without a row is connected to at once, and dropped when it takes none, unless its row is back by then. A follower that is closed logs no failure.

Tests: 'lapsed and out of reach: gone at once, unless it is back by then' (names a new call).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -80,7 +80,7 @@
 const stopNoticeMs = 2200;
 /** Time by which a target's report may lag behind its row, with room for the way. */
 const reportLagMs = 1000;
-/** Time for a target that another entry lost to take a connection, in milliseconds. */
+/** Time for a target that may be dead to take a connection, in milliseconds. */
 const confirmTimeoutMs = 50;
 /** Time in which a stopping entry hands its lease over; the rest of the grace time must hold it. */
 const releaseTimeoutMs = 200;
@@ -175,6 +175,7 @@
     log,
     targets,
     limits: cfg.targetRows,
+    isReachable: ({ address }) => takesConnection(address, confirmTimeoutMs),
     decode: (row) => decoded(row, rows.decodeTarget),
   });
 
--- a/packages/gateway/src/store/follow.ts
+++ b/packages/gateway/src/store/follow.ts
@@ -85,6 +85,7 @@
   }
 
   function failed(err: unknown) {
+    if (isClosed) return;
     if (failures === 0) log.warn({ table, ...errorFields(err) }, 'table not followed');
     failures += 1;
     if (!(err instanceof HistoryLostError)) return;
--- a/packages/gateway/src/store/target-list.ts
+++ b/packages/gateway/src/store/target-list.ts
@@ -12,6 +12,8 @@
   log: Logger;
   targets: TargetTable;
   limits: LapseLimits;
+  /** Whether a target takes a connection. */
+  isReachable(target: ServingTarget): Promise<boolean>;
   /** Undefined for a row that names no target that could be used. */
   decode(row: StoredRow): ServingTarget | undefined;
 }
@@ -42,6 +44,14 @@
     targets.apply({ id, target: undefined });
   }
 
+  /** Ends the use of a target whose row has lapsed if it can't be reached either. */
+  async function dropUnlessReachable(target: ServingTarget) {
+    const { id } = target;
+    if (await deps.isReachable(target) || !lapsed.has(id)) return;
+    log.info({ target: id }, 'lapsed target is dead');
+    drop(id);
+  }
+
   /** Whether a target without a row is used on for now. */
   function outlasts(target: ServingTarget): boolean {
     const { id } = target;
@@ -53,6 +63,7 @@
       log.info({ target: id }, 'lapsed target did not return');
       drop(id);
     }));
+    dropUnlessReachable(target);
     return true;
   }
 
--- a/test/gateway/target-list.test.ts
+++ b/test/gateway/target-list.test.ts
@@ -22,11 +22,16 @@
   startedAt: 1,
 } : undefined);
 
-function begin(rows = [row('a'), row('b')]) {
+function begin(rows = [row('a'), row('b')], unreachable: string[] = []) {
   const clock = new ManualClock();
   const targets = createTargetTable();
   const list = createTargetList({
-    clock, log: pino({ level: 'silent' }), targets, limits, decode,
+    clock,
+    log: pino({ level: 'silent' }),
+    targets,
+    limits,
+    decode,
+    isReachable: async ({ id }) => !unreachable.includes(id),
   });
   list.onRows(rows);
   return { clock, list, ids: () => targets.all.map(({ id }) => id) };
@@ -86,3 +91,12 @@
   list.onChanges([gone('a')]);
   expect(ids()).toEqual(['b']);
 });
+
+test('lapsed and out of reach: gone at once, unless it is back by then', async () => {
+  const { list, ids } = begin([row('a'), row('b')], ['a', 'b']);
+  list.onRegained!(4000);
+  list.onChanges([gone('a'), gone('b')]);
+  list.onChanges([row('b')]);
+  await new Promise(setImmediate);
+  expect(ids()).toEqual(['b']);
+});
