Say of copies only what was measured

A comment and the design note said that passes of one first target wait for each other through the whole chain; that was inferred, never measured. They say now what was seen.

--- a/packages/core/src/placement/copies.ts
+++ b/packages/core/src/placement/copies.ts
@@ -1,8 +1,7 @@
 /**
- * Second holders of a range. A target reads prompts and makes tokens of all requests that begin at
- * it in one pass after the other, each through the whole chain, while the other stages wait: more
- * targets with the first layers let passes overlap, and the loss of one of them breaks off fewer
- * streams. Copies are also what holes are filled with.
+ * Second holders of a range. Requests that begin at one target are stepped together: with several
+ * targets that hold the first layers, batches are smaller, and the loss of one of them breaks off
+ * fewer streams. Copies of any range are also what holes are closed with.
  */
 import type { EngineModel } from '../serving/config.js';
 import type { PlacedRange } from './chain-layout.js';
