Work out the middle value and mark a target dead in one place each

No change of behaviour, found on reading the change again: chain-watch had its own copy of the median that progress has, and gateway.ts marked a target dead in two places.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -138,11 +138,15 @@
       || (held !== undefined && (zone === cfg.zone || selector.ownTokens(id) > 0))),
   });
 
+  function markDead({ id }: ServingTarget) {
+    selector.failed(id);
+    load.unreachable(id);
+  }
+
   /** Takes a target for dead that another entry lost, unless it takes a connection from here. */
   async function confirmDead(target: ServingTarget) {
     if (await takesConnection(target.address, confirmTimeoutMs)) return;
-    selector.failed(target.id);
-    load.unreachable(target.id);
+    markDead(target);
   }
 
   const crashTable = createCrashTable({
@@ -207,8 +211,7 @@
     log,
     takesConnection,
     onDead(target) {
-      selector.failed(target.id);
-      load.unreachable(target.id);
+      markDead(target);
       crashTable.crashed({ target: lifeOf(target), fingerprints: [] });
     },
   });
--- a/packages/gateway/src/requests/chain-watch.ts
+++ b/packages/gateway/src/requests/chain-watch.ts
@@ -8,6 +8,7 @@
 import {
   groupBy, type CancelTimer, type Clock, type ServingTarget,
 } from '@verbenashunt/core';
+import { middleOf } from './progress.js';
 
 /** A stream that is sent through a chain. */
 export interface ChainedStream {
@@ -51,9 +52,6 @@
 /** Time between looks at one chain in milliseconds. */
 const againMs = 200;
 
-const middleOf = (values: readonly number[]) => [...values]
-  .sort((a, b) => a - b)[Math.floor(values.length / 2)]!;
-
 const keyOf = (stream: ChainedStream) => stream.parts().map(({ id }) => id).join();
 
 export function createChainWatch(deps: ChainWatchDeps): ChainWatch {
--- a/packages/gateway/src/requests/progress.ts
+++ b/packages/gateway/src/requests/progress.ts
@@ -66,7 +66,8 @@
 /** Streams from which on their pauses say something of a target. */
 const minStreams = 3;
 
-const middleOf = (values: readonly number[]) => [...values]
+/** The middle one of some values, or the higher of two. */
+export const middleOf = (values: readonly number[]) => [...values]
   .sort((a, b) => a - b)[Math.floor(values.length / 2)]!;
 
 export function createTargetProgress(): TargetProgress {
