Recover what the store forgot when it is restored from an older copy

Cause: a restored store gives versions out again. A follower refused every read below the newest version it had seen, so it never read again; a feed could continue from a version of the old era and miss rows; a lease condition or a fencing token could hit or repeat one of the time before; rows of entries and crashes were written once only; a drained or ended target could come back with its row.

Change: answers carry the store's era. A rise ends what rests on versions: followers read all rows again, each era has its own lease row and a range of tokens above all earlier ones, the former holder leads again at once and others wait one time to live, entries and crash records are written again, spread over time. A target that drains stays so until it restarts, missing rows get the grace period of an outage, and rows of ended targets count only once renewed. Weighed for tokens: the highest token known to any entry would need all of them to be asked; the era needs none.

--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -6,6 +6,8 @@
 export * from './health.js';
 export * from './lapse.js';
 export * from './lease.js';
+export * from './restored-rows.js';
 export * from './retry-decision.js';
 export * from './retry-window.js';
+export * from './target-pauses.js';
 export * from './targets.js';
--- a/packages/core/src/serving/lapse.ts
+++ b/packages/core/src/serving/lapse.ts
@@ -1,7 +1,8 @@
 /**
- * Grace period for targets whose rows expired during an outage of the platform's store. Targets
- * can't renew their rows during the outage, so the rows lapse although the targets are alive. Such
- * a target stays in use until it has had time to register again.
+ * Grace period for targets whose rows are missing through no fault of theirs: they expired during
+ * an outage of the platform's store, in which targets can't renew them, or the store was restored
+ * from a copy that is older than the row. Such a target stays in use until it has had time to
+ * register again.
  */
 import type { Clock } from '../clock/clock.js';
 import type { ServingTarget } from './targets.js';
@@ -16,9 +17,11 @@
 export interface LapseGrace {
   /** Records that the store answers again, after `awayMs` without an answer. */
   storeRecovered(awayMs: number): void;
+  /** Records that the store was restored from an older copy. */
+  storeRestored(): void;
   /**
    * Milliseconds for which a target stays in use after its row is gone; 0 when it was draining or
-   * no outage explains the missing row.
+   * neither an outage nor a restoration explains the missing row.
    */
   graceMsOf(target: ServingTarget): number;
 }
@@ -38,11 +41,16 @@
   { heartbeatMs, leaveMs }: LapseGraceOptions,
 ): LapseGrace {
   let graceEnd = -Infinity;
+
+  function startGrace() {
+    graceEnd = clock.now() + Math.min(reregistrationMs, leaveMs - inFlightMarginMs);
+  }
+
   return {
     storeRecovered(awayMs) {
-      if (awayMs < minOutageHeartbeats * heartbeatMs) return;
-      graceEnd = clock.now() + Math.min(reregistrationMs, leaveMs - inFlightMarginMs);
+      if (awayMs >= minOutageHeartbeats * heartbeatMs) startGrace();
     },
+    storeRestored: startGrace,
     graceMsOf: ({ draining }) => (draining ? 0 : Math.max(0, graceEnd - clock.now())),
   };
 }
--- a/packages/core/src/serving/targets.ts
+++ b/packages/core/src/serving/targets.ts
@@ -1,4 +1,5 @@
 /** Targets that an entry calls directly, as reported by the platform's list and by themselves. */
+import QuickLRU from 'quick-lru';
 import type { LayerRange } from '../placement/hosts.js';
 import { groupBy } from './group-by.js';
 
@@ -33,35 +34,68 @@
   /** The row was deleted or is not a usable target. */
   | { id: string; target: undefined };
 
+/** A target that was once draining stays so until it restarts, whatever its row says later. */
 export interface TargetTable {
   apply(change: TargetChange): void;
   /** Replaces all targets, after the whole list was read. */
   reset(targets: readonly ServingTarget[]): void;
+  /** Records the layers that a target holds; does nothing for one that is not known. */
+  setHeld(id: string, held: HeldRange | undefined): void;
+  /** Marks a target as draining; returns false if it was, or is not known. */
+  markDraining(id: string): boolean;
   byId(id: string): ServingTarget | undefined;
+  byAddress(address: string): ServingTarget | undefined;
   ofService(service: string): readonly ServingTarget[];
   readonly all: readonly ServingTarget[];
 }
 
+/** Draining incarnations that are remembered; the least recently seen ones are evicted. */
+const maxDraining = 4096;
+
 export function createTargetTable(): TargetTable {
   const targets = new Map<string, ServingTarget>();
+  const drainingIncarnations = new QuickLRU<string, true>({ maxSize: maxDraining });
   let byService: Map<string, ServingTarget[]> | undefined;
+  let byAddress: Map<string, ServingTarget> | undefined;
 
-  function dropIndex() {
+  function dropIndexes() {
     byService = undefined;
+    byAddress = undefined;
+  }
+
+  function put(target: ServingTarget) {
+    const incarnation = incarnationOf(target);
+    const draining = target.draining || drainingIncarnations.has(incarnation);
+    if (draining) drainingIncarnations.set(incarnation, true);
+    targets.set(target.id, draining === target.draining ? target : { ...target, draining });
+    dropIndexes();
   }
 
   return {
     apply({ id, target }) {
-      if (target) targets.set(id, target);
-      else if (!targets.delete(id)) return;
-      dropIndex();
+      if (target) put(target);
+      else if (targets.delete(id)) dropIndexes();
     },
     reset(list) {
       targets.clear();
-      list.forEach((target) => targets.set(target.id, target));
-      dropIndex();
+      dropIndexes();
+      list.forEach(put);
+    },
+    setHeld(id, held) {
+      const target = targets.get(id);
+      if (target) put({ ...target, held });
+    },
+    markDraining(id) {
+      const target = targets.get(id);
+      if (!target || target.draining) return false;
+      put({ ...target, draining: true });
+      return true;
     },
     byId: (id) => targets.get(id),
+    byAddress(address) {
+      byAddress ??= new Map([...targets.values()].map((target) => [target.address, target]));
+      return byAddress.get(address);
+    },
     ofService(service) {
       byService ??= groupBy([...targets.values()], (target) => target.service);
       return byService.get(service) ?? [];
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -16,14 +16,20 @@
   version: number;
 }
 
-export interface TableState {
-  rows: StoredRow[];
-  /** Version of the store at which the rows were read. */
+/** State of the store when it answered a call. */
+export interface StoreState {
+  /** Version of the store; comparable only with versions of the same era. */
   version: number;
+  /** Number of times that the store was restored from an older copy; 0 if it doesn't say. */
+  era: number;
   /** Time on the store's monotonic clock in milliseconds. */
   now: number;
 }
 
+export interface TableState extends StoreState {
+  rows: StoredRow[];
+}
+
 export interface RowCondition {
   table: string;
   key: string;
@@ -51,7 +57,7 @@
   read(table: string): Promise<TableState>;
   /** Returns the changes after a version, as soon as there are any or after `waitMs`. */
   changes(table: string, after: number, waitMs: number): Promise<TableState>;
-  write(transaction: RowTransaction): Promise<{ version: number; now: number }>;
+  write(transaction: RowTransaction): Promise<StoreState>;
   close(): void;
 }
 
@@ -121,6 +127,10 @@
   notRun: boolean;
   /** Address of the target at fault; undefined if the answer names none. */
   blamed: string | undefined;
+  /** Whether the target announces that it is leaving. */
+  isLeaving: boolean;
+  /** Milliseconds for which the target wants no more requests from this entry; 0 for none. */
+  pauseMs: number;
 }
 
 /** Load and state that a target reports. */
--- a/packages/gateway/src/store/crash-table.ts
+++ b/packages/gateway/src/store/crash-table.ts
@@ -17,6 +17,8 @@
 const writeDelayMs = 50;
 /** Delay before a failed write is repeated, in milliseconds. */
 const retryMs = 500;
+/** Time in milliseconds over which entries spread the writes after a restoration of the store. */
+const rewriteSpreadMs = 2000;
 
 export interface CrashTableDeps {
   clock: Clock;
@@ -97,7 +99,13 @@
   }
 
   const follower = followTable({
-    table, waitMs, onRows: (rows) => rows.forEach(onRow), onChanges: (rows) => rows.forEach(onRow),
+    table,
+    waitMs,
+    onStoreRestored() {
+      if (ownRecord) scheduleWrite(rewriteSpreadMs * deps.random());
+    },
+    onRows: (rows) => rows.forEach(onRow),
+    onChanges: (rows) => rows.forEach(onRow),
   }, deps);
 
   return {
--- a/packages/gateway/src/store/entry-rows.ts
+++ b/packages/gateway/src/store/entry-rows.ts
@@ -1,4 +1,5 @@
 /** Rows in which entries announce themselves and, when one stops, when it will serve again. */
+import type { Clock } from '@verbenashunt/core';
 import type { StoredRow } from '../ports.js';
 
 /** Content of an entry's row. */
@@ -52,3 +53,38 @@
     .map(({ backAt = now }) => Math.max(0, backAt - now));
   return waits.length > 0 ? Math.min(...waits) : Infinity;
 }
+
+/** The other entries and this one, as their rows state. */
+export interface EntryList {
+  readonly all: readonly EntryRecord[];
+  /** Replaces the entries by those of a read of all rows. */
+  update(entries: readonly EntryRecord[]): void;
+  /** Records that the store was restored from an older copy, which may lack rows of entries. */
+  storeRestored(): void;
+}
+
+/**
+ * Time in milliseconds within which all live entries notice that the store was restored and have
+ * written their rows again; twice the longest interval between their reads.
+ */
+const rewriteMs = 8000;
+
+export function createEntryList(clock: Clock): EntryList {
+  let all: readonly EntryRecord[] = [];
+  let keepUntil = -Infinity;
+
+  return {
+    get all() {
+      return all;
+    },
+    update(entries) {
+      const nodes = new Set(entries.map(({ node }) => node));
+      // Without them, each entry would take too large a share of the common limits.
+      const kept = clock.now() < keepUntil ? all.filter(({ node }) => !nodes.has(node)) : [];
+      all = [...entries, ...kept];
+    },
+    storeRestored() {
+      keepUntil = clock.now() + rewriteMs;
+    },
+  };
+}
--- a/packages/gateway/src/store/follow.ts
+++ b/packages/gateway/src/store/follow.ts
@@ -1,6 +1,6 @@
 /**
  * Follows a table of the store: reads all rows, then long-polls for changes. Recovers from lost
- * history, outages and connections that went silent.
+ * history, outages, connections that went silent and a store that was restored from an older copy.
  */
 import type { Logger } from 'pino';
 import { errorFields, HistoryLostError, type Clock } from '@verbenashunt/core';
@@ -26,6 +26,8 @@
   waitMs?: number;
   /** Called when the store answers again after failures, `awayMs` after its last answer. */
   onStoreRecovered?(awayMs: number): void;
+  /** Called before `onRows` when the store was restored from an older copy. */
+  onStoreRestored?(): void;
   /** Called with all rows at the start and whenever changes may have been missed. */
   onRows(rows: readonly StoredRow[]): void;
   onChanges(rows: readonly StoredRow[]): void;
@@ -43,7 +45,10 @@
   } = deps;
   const { table, waitMs = defaultWaitMs } = followed;
   let version: number | undefined;
+  /** Newest version of the current era. */
   let newestVersion = 0;
+  /** Undefined until the first answer. */
+  let era: number | undefined;
   let failures = 0;
   /** When the store last answered. */
   let answeredAt = clock.now();
@@ -65,9 +70,21 @@
     newestVersion = Math.max(newestVersion, state.version);
   }
 
+  /** Starts a new era, whose versions are lower than those of the last one. */
+  function recordEra(state: TableState) {
+    const isRestored = era !== undefined;
+    era = state.era;
+    newestVersion = 0;
+    if (!isRestored) return;
+    log.warn({ table, era, version: state.version }, 'store was restored from an older copy');
+    followed.onStoreRestored?.();
+  }
+
   async function readAll() {
     const state = await store.read(table);
     // A replica that lags behind would bring older rows back.
+    if (state.era < (era ?? 0)) throw new HistoryLostError(`${table} was read in era ${state.era}, older than ${era}`);
+    if (state.era !== era) recordEra(state);
     if (state.version < newestVersion) throw new HistoryLostError(`${table} was read at version ${state.version}, older than ${newestVersion}`);
     recordAnswer(state);
     followed.onRows(state.rows);
@@ -75,6 +92,8 @@
 
   async function readChanges(after: number) {
     const state = await store.changes(table, after, waitMs);
+    // The version to continue from belongs to another era, so changes may be missing.
+    if (state.era !== era) throw new HistoryLostError(`${table} was followed from era ${era} to ${state.era}`);
     recordAnswer(state);
     if (state.rows.length === 0) return;
     followed.onChanges(state.rows);
--- a/packages/gateway/src/store/lease-keeper.ts
+++ b/packages/gateway/src/store/lease-keeper.ts
@@ -1,19 +1,19 @@
 /**
  * Acquires and renews the lease on sending orders to engines, and counts the entries, which share
- * limits. One small table holds the lease and one row for each entry.
+ * limits. One small table holds the lease and one row for each entry. When the store was restored
+ * from an older copy, the lease is acquired anew and each entry writes its row again.
  */
 import type { Logger } from 'pino';
 import {
-  ConflictError, errorFields, leaseRenewMs, leaseTtlMs, nextLease, parseLease, type Clock,
-  type LeaseRecord,
+  ConflictError, errorFields, leaseKeyOf, leaseRenewMs, leaseTtlMs, nextLease, parseLease,
+  PlatformError, type Clock, type LeaseRecord,
 } from '@verbenashunt/core';
-import type { RowStore, StoredRow } from '../ports.js';
+import type { RowStore, StoredRow, StoreState } from '../ports.js';
 import {
-  expectedBackAt, decodeEntries, entryKey, nextEntryMs, type EntryRecord,
+  createEntryList, decodeEntries, entryKey, expectedBackAt, nextEntryMs,
 } from './entry-rows.js';
 
 const table = 'verbenashunt';
-const leaseKey = 'lease';
 /** Delay in milliseconds after a failed call to the store. */
 const retryMs = 500;
 /** Maximum interval in milliseconds between reads while another entry holds the lease. */
@@ -75,11 +75,16 @@
   const {
     clock, random, log, store, node,
   } = deps;
+  const entries = createEntryList(clock);
   let held: LeaseRecord | undefined;
+  /** Version of the row with the lease; 0 if there is none. */
   let version = 0;
+  /** Era of the store; undefined until its first answer. */
+  let era: number | undefined;
+  /** When this entry may first acquire the lease; later after a restoration of the store. */
+  let mayAcquireAt = -Infinity;
   /** The store's clock minus this process's, in milliseconds. */
   let clockOffset = 0;
-  let entries: readonly EntryRecord[] = [];
   let isRegistered = false;
   /** When this entry serves again, on the store's clock; undefined unless it is stopping. */
   let backAt: number | undefined;
@@ -101,49 +106,79 @@
     held = undefined;
   }
 
-  function recordAnswer(token: number) {
+  function recordToken(token: number) {
     answeredAt = clock.now();
     isFailing = false;
     newestToken = Math.max(newestToken, token);
   }
 
+  /**
+   * Starts a new era: the rows that this entry wrote may be gone. The former holder acquires the
+   * lease again at once, and the other entries wait until it has lost the old one.
+   */
+  function startEra(next: number) {
+    const isRestored = era !== undefined;
+    era = next;
+    if (!isRestored) return;
+    log.warn({ era, token: held?.token }, 'entry registers again, as the store was restored');
+    mayAcquireAt = held ? clock.now() : clock.now() + leaseTtlMs;
+    dropLease('the store was restored');
+    isRegistered = false;
+    entries.storeRestored();
+  }
+
+  function recordState(state: StoreState) {
+    if (state.era < (era ?? 0)) throw new PlatformError(`the store answered in era ${state.era} after era ${era}`);
+    if (state.era !== era) startEra(state.era);
+    clockOffset = state.now - clock.now();
+  }
+
   async function register() {
     if (isRegistered) return;
     const value = encode({ node, backAt });
-    await store.write({ expect: [], put: [{ table, key: entryKey(node), value }] });
+    recordState(await store.write({ expect: [], put: [{ table, key: entryKey(node), value }] }));
     isRegistered = true;
   }
 
-  /** Writes the lease; resolves to the milliseconds until the next run. */
+  /**
+   * Writes the lease; resolves to the milliseconds until the next run. If the store was restored
+   * meanwhile, the write hit the row of an earlier era, which permits nothing.
+   */
   async function writeLease(record: LeaseRecord): Promise<number> {
+    const key = leaseKeyOf(era ?? 0);
+    const eraBefore = era;
     const written = await store.write({
-      expect: [{ table, key: leaseKey, version }],
-      put: [{ table, key: leaseKey, value: encode(record) }],
+      expect: [{ table, key, version }], put: [{ table, key, value: encode(record) }],
     });
+    recordState(written);
+    if (era !== eraBefore) return 0;
     if (held?.token !== record.token) log.info({ token: record.token }, 'lease taken');
     held = record;
-    recordAnswer(record.token);
+    recordToken(record.token);
     version = written.version;
-    clockOffset = written.now - clock.now();
     return leaseRenewMs;
   }
 
   async function readTable(): Promise<number> {
     const state = await store.read(table);
-    clockOffset = state.now - clock.now();
-    const row = state.rows.find(({ key }) => key === leaseKey);
-    entries = decodeEntries(state.rows, (key, err) => {
+    recordState(state);
+    const row = state.rows.find(({ key }) => key === leaseKeyOf(state.era));
+    entries.update(decodeEntries(state.rows, (key, err) => {
       log.warn({ key, ...errorFields(err) }, 'row not understood');
-    });
+    }));
     version = row?.version ?? 0;
     const current = decodeLease(row);
-    recordAnswer(current?.token ?? 0);
+    recordToken(current?.token ?? 0);
     if (held && current?.token !== held.token) dropLease('another entry holds it');
-    const next = nextLease(current, node, state.now, held?.token);
-    if (next && (held || !isStopping)) return writeLease(next);
+    const next = nextLease(current, {
+      holder: node, now: state.now, ownToken: held?.token, era: state.era,
+    });
+    const waitMs = mayAcquireAt - clock.now();
+    if (next && waitMs <= 0 && (held || !isStopping)) return writeLease(next);
+    if (!isRegistered) return 0;
     if (isStopping) return stoppingReadMs;
-    if (!current) return maxReadMs;
-    const expiresInMs = Math.max(0, current.until - state.now);
+    if (next) return waitMs + random() * retryMs;
+    const expiresInMs = Math.max(0, current!.until - state.now);
     return Math.min(maxReadMs, expiresInMs + expiryMarginMs + random() * retryMs);
   }
 
@@ -151,7 +186,9 @@
     await register();
     if (!held || isStopping) return readTable();
     try {
-      return await writeLease(nextLease(held, node, clock.now() + clockOffset, held.token)!);
+      return await writeLease(nextLease(held, {
+        holder: node, now: clock.now() + clockOffset, ownToken: held.token, era: era ?? 0,
+      })!);
     } catch (err) {
       // The answer to an earlier renewal may have been lost, so the stored row decides.
       if (err instanceof ConflictError) return readTable();
@@ -197,8 +234,8 @@
       const token = isHolderUnknown ? newestToken : held?.token ?? 0;
       return token > highestFenced ? { token, isHolderUnknown } : undefined;
     },
-    entryCount: () => Math.max(1, entries.length),
-    nextEntryMs: () => nextEntryMs(entries, node, clock.now() + clockOffset),
+    entryCount: () => Math.max(1, entries.all.length),
+    nextEntryMs: () => nextEntryMs(entries.all, node, clock.now() + clockOffset),
     onFenced(token) {
       highestFenced = Math.max(highestFenced, token);
       if (held && held.token <= highestFenced) dropLease('fenced');
@@ -206,7 +243,7 @@
     announceStop(graceMs) {
       isStopping = true;
       // Before the first read, the offset of the store's clock is unknown.
-      if (entries.length === 0) return;
+      if (entries.all.length === 0) return;
       backAt = expectedBackAt(clock.now() + clockOffset, graceMs);
       isRegistered = false;
       runNow();
@@ -215,11 +252,11 @@
       close();
       if (!held) return;
       const record = { ...held, until: clock.now() + clockOffset };
+      const key = leaseKeyOf(era ?? 0);
       held = undefined;
       try {
         await store.write({
-          expect: [{ table, key: leaseKey, version }],
-          put: [{ table, key: leaseKey, value: encode(record) }],
+          expect: [{ table, key, version }], put: [{ table, key, value: encode(record) }],
         });
         log.info({ token: record.token }, 'lease released');
       } catch (err) {
--- a/packages/gateway/src/store/target-list.ts
+++ b/packages/gateway/src/store/target-list.ts
@@ -1,10 +1,11 @@
 /**
  * Applies the platform's rows of targets to the table of targets. Targets whose rows expired during
- * an outage of the store stay in use for a grace period.
+ * an outage of the store, or are missing in a restored copy, stay in use for a grace period. Rows
+ * of ended targets that a restored copy brings back are left out until their targets renew them.
  */
 import type { Logger } from 'pino';
 import {
-  createLapseGrace,
+  createLapseGrace, createRestoredRows, incarnationOf,
   type CancelTimer, type Clock, type LapseGraceOptions, type ServingTarget, type TargetTable,
 } from '@verbenashunt/core';
 import type { StoredRow } from '../ports.js';
@@ -32,6 +33,10 @@
     clock, log, targets, decode,
   } = deps;
   const grace = createLapseGrace(clock, deps.graceOptions);
+  const restoredRows = createRestoredRows(clock, deps.graceOptions.heartbeatMs);
+  /** Targets whose rows a restored copy may have brought back, by id. */
+  const doubtful = new Map<string, ServingTarget>();
+  let cancelDoubtEnd: CancelTimer = () => {};
   const changeTimes = new Map<string, number>();
   /** Timers that remove targets whose rows have lapsed, by target id. */
   const removalTimers = new Map<string, CancelTimer>();
@@ -41,9 +46,18 @@
     removalTimers.delete(id);
   }
 
+  /** Records that the known incarnation of a target has ended, unless it is `next` itself. */
+  function recordEnd(id: string, next: ServingTarget | undefined) {
+    const known = targets.byId(id);
+    if (!known || (next && incarnationOf(next) === incarnationOf(known))) return;
+    restoredRows.recordEnded(known);
+  }
+
   function removeTarget(id: string) {
     cancelRemoval(id);
     changeTimes.delete(id);
+    doubtful.delete(id);
+    recordEnd(id, undefined);
     targets.apply({ id, target: undefined });
   }
 
@@ -86,17 +100,43 @@
       return;
     }
     cancelRemoval(row.key);
+    doubtful.delete(row.key);
+    restoredRows.recordWritten(target);
+    recordEnd(row.key, target);
     changeTimes.set(row.key, clock.now());
     targets.apply({ id: row.key, target });
   }
 
+  /** Uses the targets whose rows have outlived the time in which rows of ended targets expire. */
+  function endDoubt() {
+    doubtful.forEach((target, id) => {
+      log.info({ target: id, address: target.address }, 'target kept its row after the restoration');
+      targets.apply({ id, target });
+    });
+    doubtful.clear();
+  }
+
   return {
     onStoreRecovered: grace.storeRecovered,
+    onStoreRestored() {
+      grace.storeRestored();
+      cancelDoubtEnd();
+      cancelDoubtEnd = clock.after(restoredRows.storeRestored(), endDoubt);
+    },
     onRows(rows) {
-      const listed = rows.flatMap((row) => decode(row) ?? []);
-      const ids = new Set(rows.map(({ key }) => key));
+      const decoded = rows.flatMap((row) => decode(row) ?? []);
+      doubtful.clear();
+      decoded.filter(restoredRows.isDoubtful).forEach((target) => doubtful.set(target.id, target));
+      const listed = decoded.filter(({ id }) => !doubtful.has(id));
+      const ids = new Set(rows.map(({ key }) => key).filter((id) => !doubtful.has(id)));
       ids.forEach(cancelRemoval);
-      const kept = targets.all.filter((target) => !ids.has(target.id) && keepForGrace(target));
+      listed.forEach((target) => {
+        restoredRows.recordWritten(target);
+        recordEnd(target.id, target);
+      });
+      const missing = targets.all.filter(({ id }) => !ids.has(id));
+      const kept = missing.filter(keepForGrace);
+      missing.filter((target) => !kept.includes(target)).forEach(restoredRows.recordEnded);
       targets.reset([...listed, ...kept]);
       [...changeTimes.keys()].filter((id) => !targets.byId(id))
         .forEach((id) => changeTimes.delete(id));
@@ -104,6 +144,7 @@
     onChanges: (rows) => rows.forEach(onChange),
     changedAt: (id) => changeTimes.get(id) ?? -Infinity,
     close() {
+      cancelDoubtEnd();
       removalTimers.forEach((cancel) => cancel());
     },
   };
--- a/test/gateway/target-list.test.ts
+++ b/test/gateway/target-list.test.ts
@@ -1,6 +1,7 @@
 /**
- * Targets whose rows are gone. If an outage of the store was long enough for rows to lapse, such a
- * target is kept for a grace period; otherwise it is removed at once.
+ * Targets whose rows are gone. If an outage of the store was long enough for rows to lapse, or the
+ * store was restored from an older copy, such a target is kept for a grace period; otherwise it is
+ * removed at once. Rows that a restoration brings back.
  */
 import { expect, test } from 'vitest';
 import { pino } from 'pino';
@@ -8,8 +9,8 @@
 import { createTargetList, type StoredRow } from '@verbenashunt/gateway';
 
 const graceOptions = { heartbeatMs: 1000, leaveMs: 2000 };
-const row = (key: string, draining = false): StoredRow => ({
-  key, value: Buffer.from(draining ? 'draining' : 'ready'), version: 1,
+const row = (key: string, draining = false, startedAt = 1): StoredRow => ({
+  key, value: Buffer.from(JSON.stringify({ draining, startedAt })), version: 1,
 });
 const removed = (key: string): StoredRow => ({ key, value: undefined, version: 2 });
 
@@ -18,11 +19,10 @@
   service: 'pool',
   address: `${key}:1`,
   zone: 'zone-a',
-  draining: value.toString() === 'draining',
   slots: 1,
   kind: undefined,
   held: undefined,
-  startedAt: 1,
+  ...JSON.parse(value.toString()) as Pick<ServingTarget, 'draining' | 'startedAt'>,
 } : undefined);
 
 function createList(rows = [row('a'), row('b')], unreachable: string[] = []) {
@@ -37,7 +37,9 @@
     isReachable: async ({ id }) => !unreachable.includes(id),
   });
   list.onRows(rows);
-  return { clock, list, ids: () => targets.all.map(({ id }) => id) };
+  return {
+    clock, list, targets, ids: () => targets.all.map(({ id }) => id),
+  };
 }
 
 test('removes a target at once when its row is removed', () => {
@@ -103,3 +105,66 @@
   await new Promise(setImmediate);
   expect(ids()).toEqual(['b']);
 });
+
+const restore = (list: ReturnType<typeof createList>['list'], rows: StoredRow[]) => {
+  list.onStoreRestored!();
+  list.onRows(rows);
+};
+
+test('keeps a target whose row is missing in a restored store until it registers again', () => {
+  const { clock, list, ids } = createList();
+  restore(list, [row('a')]);
+  expect(ids().sort()).toEqual(['a', 'b']);
+  list.onChanges([row('b')]);
+  clock.advance(10_000);
+  expect(ids().sort()).toEqual(['a', 'b']);
+});
+
+test('removes a target that does not register again after a restoration', () => {
+  const { clock, list, ids } = createList();
+  restore(list, [row('a')]);
+  clock.advance(1800);
+  expect(ids()).toEqual(['a']);
+});
+
+test('a target that was draining stays so when a restored row says otherwise', () => {
+  const { list, targets } = createList([row('a', true), row('b')]);
+  restore(list, [row('a'), row('b')]);
+  list.onChanges([row('a')]);
+  expect(targets.byId('a')).toMatchObject({ draining: true });
+  expect(targets.byId('b')).toMatchObject({ draining: false });
+});
+
+test('a removed target that a restored store lists is not used until it writes its row', () => {
+  const { list, ids } = createList([row('a'), row('b'), row('c')]);
+  list.onChanges([removed('a'), removed('c')]);
+  restore(list, [row('a'), row('b'), row('c')]);
+  expect(ids()).toEqual(['b']);
+  list.onChanges([row('c')]);
+  expect(ids().sort()).toEqual(['b', 'c']);
+});
+
+test('a removed target is used once its restored row has not expired', () => {
+  const { clock, list, ids } = createList();
+  list.onChanges([removed('a')]);
+  restore(list, [row('a'), row('b')]);
+  clock.advance(3999);
+  expect(ids()).toEqual(['b']);
+  clock.advance(1);
+  expect(ids().sort()).toEqual(['a', 'b']);
+});
+
+test('a restored row of an earlier process does not replace the restarted target', () => {
+  const { list, targets } = createList();
+  list.onChanges([row('a', false, 2)]);
+  restore(list, [row('a'), row('b')]);
+  expect(targets.byId('a')).toMatchObject({ startedAt: 2 });
+});
+
+test('a target that lapsed and came back is trusted after a restoration', () => {
+  const { list, ids } = createList();
+  list.onChanges([removed('a')]);
+  list.onRows([row('a'), row('b')]);
+  restore(list, [row('a'), row('b')]);
+  expect(ids().sort()).toEqual(['a', 'b']);
+});
