Heed what targets announce: that they leave, and pauses that they want

Cause: only the store's rows said that a target drains, so while the store was away or slow an entry sent it new requests long after the target itself had said so; the pause that a refusal states was not read, and requests, reports and orders went on.

Change: one exchanger for all calls to targets reads both from the head of any response. A leaving target counts as draining for that incarnation alone, whatever its row says later. A target that wants a pause gets nothing until its end: choice, retries, resumed streams, polls, stall checks and orders leave it out, and the exchanger refuses what would slip through. If all targets of a service want a pause, callers are refused at once and told when the first one ends. Values that are not understood are ignored, counted and logged once.

Ruled out: the pause for the target named at fault in a refusal; the rule speaks of the one that answered this machine (question in docs/design/platform.md).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,7 +4,7 @@
 import Emittery from 'emittery';
 import type { Logger } from 'pino';
 import {
-  createRefusal, createServingConfigHolder, createTargetTable,
+  createRefusal, createServingConfigHolder, createTargetPauses, createTargetTable,
   errorFields, incarnationOf, sameRange, SystemClock,
   type Clock, type LapseGraceOptions, type RetryLimits, type ServingTarget,
 } from '@verbenashunt/core';
@@ -16,7 +16,7 @@
   serveCallers, serveProbe, type Address, type CallerServer,
 } from './http/server.js';
 import { createAnswerSink } from './http/answer-sink.js';
-import { createGatewayMetrics } from './metrics.js';
+import { createGatewayMetrics, type GatewayMetrics } from './metrics.js';
 import { createPlacementController } from './placement/controller.js';
 import type { PlatformPorts, StoredRow } from './ports.js';
 import { createChainWatch } from './requests/chain-watch.js';
@@ -34,6 +34,7 @@
 import { followTable } from './store/follow.js';
 import { createLeaseKeeper } from './store/lease-keeper.js';
 import { createTargetList } from './store/target-list.js';
+import { createTargetExchanger } from './targets/target-exchanger.js';
 
 export interface GatewayOptions {
   node: string;
@@ -52,6 +53,7 @@
 export interface GatewayDeps {
   log: Logger;
   ports: PlatformPorts;
+  metrics?: GatewayMetrics;
   clock?: Clock;
   random?: () => number;
 }
@@ -95,14 +97,23 @@
 const releaseTimeoutMs = 200;
 
 export async function createGateway(cfg: GatewayOptions, deps: GatewayDeps): Promise<Gateway> {
-  const { ports, clock = new SystemClock(), random = Math.random } = deps;
+  const {
+    ports, metrics = createGatewayMetrics(), clock = new SystemClock(), random = Math.random,
+  } = deps;
   const log = deps.log.child({ node: cfg.node });
   const requestLog = createRequestLog({ log, clock });
   const { store, rows, callers } = ports;
   const events = new Emittery<GatewayEvents>();
-  const metrics = createGatewayMetrics();
   const readBody = createBodyReader({ maxBufferedBytes });
-  const exchanger = createExchanger({ connectTimeoutMs, keepAliveMs: idleReuseMs });
+  const targets = createTargetTable();
+  const pauses = createTargetPauses(clock);
+  const exchanger = createTargetExchanger({
+    log,
+    exchanger: createExchanger({ connectTimeoutMs, keepAliveMs: idleReuseMs }),
+    protocol: ports.targets,
+    targets,
+    pauses,
+  });
   const runs = new Set<RequestRun>();
   const progress = createTargetProgress();
   let options = cfg;
@@ -116,7 +127,6 @@
     server?.apply(limits);
     events.emit('config', version);
   });
-  const targets = createTargetTable();
   const followDeps = {
     clock, random, log, store,
   };
@@ -126,6 +136,7 @@
     random,
     zone: cfg.zone,
     targets,
+    pauses,
     entryCount: lease.entryCount,
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- each refers to the other
     loadMonitor: () => loadMonitor,
@@ -138,6 +149,7 @@
     log,
     exchanger,
     protocol: ports.targets,
+    pauses,
     ownTokens: selector.ownTokens,
     onHeldLayers(target, held) {
       // A report may be older than a row that has just changed.
@@ -146,7 +158,7 @@
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called after both exist
       if (clock.now() - targetList.changedAt(target.id) < reportLagMs) return;
       log.info({ target: target.id, held, was: known.held }, 'target holds other layers than listed');
-      targets.apply({ id: target.id, target: { ...known, held } });
+      targets.setHeld(target.id, held);
     },
     engines: () => engines().filter(({ id, held, zone }) => lease.orderPermit() !== undefined
       || (held !== undefined && (zone === cfg.zone || selector.ownTokens(id) > 0))),
@@ -175,7 +187,7 @@
     log, exchanger, protocol: ports.targets, crashTable,
   });
   const stalls = createStallWatch({
-    clock, log, exchanger, protocol: ports.targets,
+    clock, log, exchanger, protocol: ports.targets, pauses,
   });
 
   /** Decodes a row; logs a row that is invalid and returns undefined. */
@@ -215,6 +227,7 @@
     lease,
     exchanger,
     protocol: ports.targets,
+    pauses,
     isDead: loadMonitor.isDead,
     // A target that refuses requests only because its memory is full keeps its layers.
     isFailing: (id) => selector.health.isFailing(id) && !loadMonitor.mayBeFull(id),
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -44,6 +44,9 @@
   const targets = new Gauge({
     name: 'verbenashunt_gateway_targets', help: 'Targets known, by service.', labelNames: ['service'], registers,
   });
+  const invalidHeaders = new Counter({
+    name: 'verbenashunt_gateway_invalid_headers_total', help: 'Headers of the store and of targets that were ignored, by name.', labelNames: ['header'], registers,
+  });
   const organisations = new Set<string>();
 
   function labelOf(organisation: string | undefined): string {
@@ -56,6 +59,8 @@
     registry,
     config,
     targets,
+    /** Counts a header that was ignored because its value is invalid. */
+    invalidHeader: (header: string) => invalidHeaders.inc({ header }),
     /** Counts a request that was refused before it had a route kind. */
     refused: (outcome: string) => requests.inc({ kind: 'none', outcome }),
     ofRequest({ kind, organisation }: {
--- a/packages/gateway/src/placement/controller.ts
+++ b/packages/gateway/src/placement/controller.ts
@@ -6,7 +6,8 @@
 import {
   errorFields, planLayers, sameRange, toLayerHost,
   type CancelTimer, type Clock, type EngineModel, type LayerHost, type LayerRange,
-  type PlacedRange, type ServingConfigHolder, type ServingTarget, type TargetTable,
+  type PlacedRange, type ServingConfigHolder, type ServingTarget, type TargetPauses,
+  type TargetTable,
 } from '@verbenashunt/core';
 import { exchangeOnce } from '@verbenashunt/wire';
 import { requestReport, type ReportDeps } from '../routing/report.js';
@@ -18,6 +19,7 @@
   config: ServingConfigHolder;
   targets: TargetTable;
   lease: LeaseKeeper;
+  pauses: TargetPauses;
   /** Whether the target counts as dead, so that plans leave it out. */
   isDead(id: string): boolean;
   /** Whether requests keep failing at the target, as at one that stops without notice. */
@@ -67,7 +69,7 @@
     const { busy, orders, held } = await requestReport(deps, target, targetTimeoutMs);
     if (sameRange(held, range)) {
       queued.delete(target.id);
-      targets.apply({ id: target.id, target: { ...target, held } });
+      targets.setHeld(target.id, held);
       return;
     }
     if (busy) return;
@@ -92,13 +94,19 @@
     const { busy, held } = await requestReport(deps, target, targetTimeoutMs);
     if (sameRange(held, expected)) {
       pending.delete(target.id);
-      targets.apply({ id: target.id, target: { ...target, held } });
+      targets.setHeld(target.id, held);
     } else if (!busy && clock.now() > expected.until) pending.delete(target.id);
   }
 
-  /** Starts a call to a target unless one is in progress. */
+  /** Whether a call to a target of a service may start: none is in progress, and no pause. */
+  function mayCall(service: string, id: string): boolean {
+    const target = targets.byId(id);
+    return target?.service === service && !activeCalls.has(id) && !deps.pauses.isPaused(target);
+  }
+
+  /** Starts a call to a target unless it must wait. */
   function call(target: ServingTarget, run: () => Promise<void>) {
-    if (activeCalls.has(target.id)) return;
+    if (!mayCall(target.service, target.id)) return;
     activeCalls.add(target.id);
     run().catch((err) => {
       log.info({ target: target.id, ...errorFields(err) }, 'order not settled');
@@ -149,7 +157,7 @@
     })
       .forEach((range) => queued.set(range.id, range));
     [...queued.values()]
-      .filter(({ id }) => targets.byId(id)?.service === service && !activeCalls.has(id))
+      .filter(({ id }) => mayCall(service, id))
       .slice(0, Math.max(0, engine.loadsAtOnce - countLoading() - activeCalls.size))
       .forEach((range) => {
         call(targets.byId(range.id)!, () => sendOrder(targets.byId(range.id)!, range, engine));
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -98,9 +98,11 @@
       version: spec.version,
     }, 'request refused');
     close(code);
-    sink.refuse(createRefusal(code, {
-      ran, ...(ran === 'no' ? { retryAfterMs: jitteredRetryAfterMs(deps.random()) } : {}),
-    }));
+    const retryAfterMs = jitteredRetryAfterMs(
+      deps.random(),
+      selector.allPausedMs(spec.service.name),
+    );
+    sink.refuse(createRefusal(code, { ran, ...(ran === 'no' ? { retryAfterMs } : {}) }));
   }
 
   function finish(step: RetryStep, failure: AttemptFailure) {
--- a/packages/gateway/src/requests/stall-watch.ts
+++ b/packages/gateway/src/requests/stall-watch.ts
@@ -4,7 +4,9 @@
  * gives no report counts as lost.
  */
 import type { Logger } from 'pino';
-import { errorFields, type Clock, type ServingTarget } from '@verbenashunt/core';
+import {
+  errorFields, type Clock, type ServingTarget, type TargetPauses,
+} from '@verbenashunt/core';
 import { requestReport, type ReportDeps } from '../routing/report.js';
 
 export interface WatchedStream {
@@ -25,6 +27,7 @@
 export interface StallWatchDeps extends ReportDeps {
   clock: Clock;
   log: Logger;
+  pauses: TargetPauses;
 }
 
 export interface StallWatch {
@@ -101,7 +104,7 @@
     if (isClosed) return;
     cancel = clock.after(checkIntervalMs, checkAll);
     const quiet = new Map([...streams].filter(isQuiet).map(({ target }) => [target.id, target]));
-    quiet.forEach(askIfDue);
+    [...quiet.values()].filter((target) => !deps.pauses.isPaused(target)).forEach(askIfDue);
     [...askStates.keys()].filter((id) => !quiet.has(id)).forEach((id) => askStates.delete(id));
   }
   checkAll();
--- a/packages/gateway/src/routing/admission.ts
+++ b/packages/gateway/src/routing/admission.ts
@@ -18,9 +18,12 @@
 /** Range of the random delay in milliseconds that is added, so that callers don't retry at once. */
 const retryAfterSpreadMs = 2000;
 
-/** Delay in milliseconds before a refused caller retries; `share` is a random number in [0, 1). */
-export const jitteredRetryAfterMs = (share: number) => Math
-  .round(minRetryAfterMs + retryAfterSpreadMs * share);
+/**
+ * Delay in milliseconds before a refused caller retries, at least `pausedMs`, for which no target
+ * accepts requests. `share` is a random number in [0, 1).
+ */
+export const jitteredRetryAfterMs = (share: number, pausedMs = 0) => Math
+  .round(Math.max(minRetryAfterMs, pausedMs) + retryAfterSpreadMs * share);
 
 /**
  * Returns `first` if its first target serves streams on time or the service has no engine; else
--- a/packages/gateway/src/routing/load-monitor.ts
+++ b/packages/gateway/src/routing/load-monitor.ts
@@ -5,7 +5,7 @@
  */
 import type { Logger } from 'pino';
 import {
-  correctedActive, errorFields, type Clock, type HeldRange, type ServingTarget,
+  correctedActive, errorFields, type Clock, type HeldRange, type ServingTarget, type TargetPauses,
 } from '@verbenashunt/core';
 import { requestReport, type ReportDeps } from './report.js';
 
@@ -14,6 +14,7 @@
   log: Logger;
   /** Engines to poll now. */
   engines(): readonly ServingTarget[];
+  pauses: TargetPauses;
   /** Tokens of this entry's requests in flight at a target. */
   ownTokens(id: string): number;
   /** Called with the layers that a target reports to hold. */
@@ -122,7 +123,7 @@
     [...loads.keys()].filter((id) => !ids.has(id)).forEach((id) => loads.delete(id));
     engines.forEach((target) => {
       const state = loadOf(target.id);
-      if (state.isPolling || state.dueAt > clock.now()) return;
+      if (state.isPolling || state.dueAt > clock.now() || deps.pauses.isPaused(target)) return;
       state.isPolling = true;
       poll(target, state).catch((err) => recordMiss(target, state, err))
         .finally(() => {
--- a/packages/gateway/src/routing/selector.ts
+++ b/packages/gateway/src/routing/selector.ts
@@ -1,7 +1,8 @@
 /** Chooses the targets of an attempt, and counts this entry's requests in flight at each target. */
 import {
   chooseService, chooseServingChain, createTargetHealth, kvTokensOf,
-  type ChainStage, type Clock, type ServingService, type ServingTarget, type TargetTable,
+  type ChainStage, type Clock, type ServingService, type ServingTarget, type TargetPauses,
+  type TargetTable,
 } from '@verbenashunt/core';
 import type { ChainPart } from '../ports.js';
 import type { RequestSpec } from '../requests/spec.js';
@@ -22,6 +23,7 @@
   random: () => number;
   zone: string;
   targets: TargetTable;
+  pauses: TargetPauses;
   /** Number of entries; each is assumed to send as many requests as this one. */
   entryCount(): number;
   /** A function, since the monitor itself needs the selector's `ownTokens` and is created later. */
@@ -32,7 +34,9 @@
 const defaultSlots = 8;
 
 export function createSelector(deps: SelectorDeps) {
-  const { clock, targets, zone } = deps;
+  const {
+    clock, targets, pauses, zone,
+  } = deps;
   const health = createTargetHealth(clock);
   /** This entry's requests in flight, by target id. */
   const requestsInFlight = new Map<string, number>();
@@ -45,9 +49,11 @@
     else counts.delete(id);
   };
 
-  const availableTargets = (service: string, avoid: ReadonlySet<string>) => targets
-    .ofService(service)
-    .filter(({ id, draining }) => !draining && !avoid.has(id));
+  const servingTargets = (service: string) => targets.ofService(service)
+    .filter(({ draining }) => !draining);
+
+  const availableTargets = (service: string, avoid: ReadonlySet<string>) => servingTargets(service)
+    .filter((target) => !avoid.has(target.id) && !pauses.isPaused(target));
 
   /** Available targets that are not suspect; all available ones if every one is suspect. */
   function preferredTargets(service: string, avoid: ReadonlySet<string>): ServingTarget[] {
@@ -111,7 +117,7 @@
     avoid: ReadonlySet<string>,
   ): Choice | undefined {
     const [first] = chain ?? [];
-    if (!first) return undefined;
+    if (!first || pauses.isPaused(target)) return undefined;
     const { lo, hi } = first;
     const rest = chooseStages(spec, new Set([...avoid, target.id]), hi, target.zone);
     return rest && toChoice([{ node: target.id, lo, hi }, ...rest]);
@@ -122,6 +128,14 @@
     choose: (spec: RequestSpec, avoid: ReadonlySet<string>): Choice | undefined => (
       spec.service.engine ? chooseChain(spec, avoid) : chooseSingleTarget(spec, avoid)),
     reroute,
+    /**
+     * Milliseconds until the first target of a service accepts requests again, if all of them want
+     * a pause; else 0.
+     */
+    allPausedMs(service: string): number {
+      const pausesMs = servingTargets(service).map(pauses.remainingMs);
+      return pausesMs.length > 0 ? Math.min(...pausesMs) : 0;
+    },
     /** Whether every target of a choice has enough free KV memory for the request. */
     hasFreeKvMemory: ({ service: { engine }, size }: RequestSpec, { parts }: Choice) => parts
       .every((part) => engine !== undefined
--- a/test/gateway/load-monitor.test.ts
+++ b/test/gateway/load-monitor.test.ts
@@ -3,7 +3,7 @@
   afterEach, expect, test, vi,
 } from 'vitest';
 import { pino } from 'pino';
-import { SystemClock, type ServingTarget } from '@verbenashunt/core';
+import { createTargetPauses, SystemClock, type ServingTarget } from '@verbenashunt/core';
 import { createLoadMonitor } from '@verbenashunt/gateway';
 import { createPlatformPorts } from '@verbenashunt/platform';
 import { startTarget } from '@verbenashunt/platform/stand-in';
@@ -30,17 +30,22 @@
     startedAt: 1,
   };
   const exchanger = createExchanger({ connectTimeoutMs: 300, keepAliveMs: 500 });
+  const clock = new SystemClock();
+  const pauses = createTargetPauses(clock);
   const load = createLoadMonitor({
-    clock: new SystemClock(),
+    clock,
     log: pino({ level: 'silent' }),
     exchanger,
     protocol: createPlatformPorts('127.0.0.1:1').targets,
+    pauses,
     ownTokens: () => 0,
     onHeldLayers() {},
     engines: () => [target],
   });
   closers.push(engine.close, exchanger.close, load.close);
-  return { engine, load, id: engine.id };
+  return {
+    engine, load, id: engine.id, target, pauses,
+  };
 }
 
 const waitOptions = { timeout: 8000, interval: 20 };
@@ -67,3 +72,18 @@
   load.pollSoon(id);
   await vi.waitFor(() => expect(load.isDead(id)).toBe(true), waitOptions);
 });
+
+test('polls no target that wants a pause', async () => {
+  const {
+    engine, load, id, target, pauses,
+  } = await startMonitor();
+  await vi.waitFor(() => expect(load.mayBeFull(id)).toBe(false), waitOptions);
+  pauses.pause(target, 600);
+  const before = engine.contacts;
+  load.pollSoon(id);
+  await new Promise((resolve) => {
+    setTimeout(resolve, 400);
+  });
+  expect(engine.contacts).toBe(before);
+  await vi.waitFor(() => expect(engine.contacts).toBeGreaterThan(before), waitOptions);
+});
--- a/test/gateway/selector.test.ts
+++ b/test/gateway/selector.test.ts
@@ -1,13 +1,22 @@
 /** Requests in flight that the selector counts, and targets that it makes suspect. */
 import { expect, test } from 'vitest';
-import { createTargetTable, ManualClock } from '@verbenashunt/core';
+import {
+  createTargetPauses, createTargetTable, ManualClock, type ServingTarget,
+} from '@verbenashunt/core';
 import { createSelector, type Choice, type RequestSpec } from '@verbenashunt/gateway';
 
-const createTestSelector = (mayBeFull: boolean) => createSelector({
-  clock: new ManualClock(),
+const clock = new ManualClock();
+
+const createTestSelector = (
+  mayBeFull: boolean,
+  targets = createTargetTable(),
+  pauses = createTargetPauses(clock),
+) => createSelector({
+  clock,
   random: () => 0.5,
   zone: 'zone-a',
-  targets: createTargetTable(),
+  targets,
+  pauses,
   entryCount: () => 1,
   loadMonitor: () => ({
     tokensAt: () => 0,
@@ -43,3 +52,47 @@
   });
   expect(suspected).toEqual([false, false, false, true]);
 });
+
+const appTarget = (id: string): ServingTarget => ({
+  id,
+  service: 'app',
+  address: `${id}:1`,
+  zone: 'zone-a',
+  draining: false,
+  slots: 8,
+  kind: undefined,
+  held: undefined,
+  startedAt: 1,
+});
+const appSpec = { service: { name: 'app' } } as unknown as RequestSpec;
+
+test('chooses no target that wants a pause, and tells when the first one ends', () => {
+  const targets = createTargetTable();
+  const pauses = createTargetPauses(clock);
+  const selector = createTestSelector(false, targets, pauses);
+  const [a, b] = [appTarget('a'), appTarget('b')];
+  targets.reset([a, b]);
+  pauses.pause(a, 3000);
+  const chosen = Array.from({ length: 20 }, () => selector.choose(appSpec, new Set())?.target.id);
+  expect(new Set(chosen)).toEqual(new Set(['b']));
+  expect(selector.allPausedMs('app')).toBe(0);
+  pauses.pause(b, 1000);
+  expect(selector.choose(appSpec, new Set())).toBeUndefined();
+  expect(selector.allPausedMs('app')).toBe(1000);
+  clock.advance(1000);
+  expect(selector.choose(appSpec, new Set())?.target.id).toBe('b');
+});
+
+test('a target that restarted wants no pause any more', () => {
+  const pauses = createTargetPauses(clock);
+  pauses.pause(appTarget('a'), 3000);
+  expect(pauses.isPaused(appTarget('a'))).toBe(true);
+  expect(pauses.isPaused({ ...appTarget('a'), startedAt: 2 })).toBe(false);
+});
+
+test('a shorter pause does not end a longer one', () => {
+  const pauses = createTargetPauses(clock);
+  pauses.pause(appTarget('a'), 3000);
+  pauses.pause(appTarget('a'), 500);
+  expect(pauses.remainingMs(appTarget('a'))).toBe(3000);
+});
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -91,11 +91,28 @@
   ['not run, another target at fault', 503, { 'not-executed': '1', 'at-server': '10.0.0.2:80' }, { notRun: true, blamed: '10.0.0.2:80' }],
   ['not run, as another target has the address', 421, { 'instance-id': 'x' }, { notRun: true }],
   ['a failure that may have run', 503, { 'request-id': 'r' }, { notRun: false, requestId: 'r' }],
-  ['success', 200, { 'request-id': 'r' }, { notRun: false, requestId: 'r' }],
+  ['success', 200, { 'request-id': 'r' }, {
+    notRun: false, requestId: 'r', isLeaving: false, pauseMs: 0,
+  }],
+  ['a target that is leaving', 200, { 'server-leaving': '1' }, { isLeaving: true }],
+  ['a refusal with a pause', 503, { 'not-executed': '1', 'retry-after': '2.5' }, { notRun: true, pauseMs: 2500 }],
+  ['a delay for the caller, not for this entry', 429, { 'retry-after': '2' }, { pauseMs: 0 }],
 ])('decodes the head of a response: %s', (_, status, headers, expected) => {
   expect(targets.head(status, headers)).toMatchObject(expected);
 });
 
+test.each([
+  ['server-leaving', '0'], ['server-leaving', 'true'], ['server-leaving', ''],
+  ['retry-after', '-1'], ['retry-after', 'Fri, 04 Dec 2026 08:00:00 GMT'], ['retry-after', '1e9'],
+])('ignores and reports an invalid header: %s: %s', (name, value) => {
+  const invalid: string[] = [];
+  const { targets: protocol } = createPlatformPorts('127.0.0.1:1', {
+    onInvalidHeader: (...header) => invalid.push(header.join('=')),
+  });
+  expect(protocol.head(503, { [name]: value })).toMatchObject({ isLeaving: false, pauseMs: 0 });
+  expect(invalid).toEqual([`${name}=${value}`]);
+});
+
 test('encodes an order and decodes its result', () => {
   const orderedTarget = { id: 'id-1', address: '10.0.0.1:80' } as ServingTarget;
   const { method, path, body } = targets.placeRequest(orderedTarget, {
--- a/test/support/gateway-fixture.ts
+++ b/test/support/gateway-fixture.ts
@@ -120,7 +120,7 @@
     const { status } = await call({ path: '/open/warm' });
     if (status !== 200) throw new Error(`gateway does not serve yet: status ${status}`);
   }, { timeout: 10_000 });
-  apps.forEach((app) => Object.assign(app, { ran: [], arrivals: 0 }));
+  apps.forEach((app) => Object.assign(app, { ran: [], arrivals: 0, contacts: 0 }));
   return {
     store,
     gateway,
