Follow the store through one entry of each zone

Change: an entry's calls feed a log of recent changes, which other entries of its zone follow over the second internal port. All rank the entries of their zone alike by capacity; the first one that answers is the relay, and whoever finds itself first calls the store. A log answers only while its own calls succeed, for its own era, and from its start on; in every other case the call goes to the store at once. The delay that a lost relay can add (2.3 s) is used only where the settings allow it, so small deployments with bounds of 2 s follow by themselves as before. Entries read the lease the more seldom the more there are, with the same expected time of takeover; three early reads let entries that start together know each other. Pauses between calls double while each one finds changes at once.

Ruled out: longer pauses alone (half of the calls at best, and later news of dead targets); a store or election between entries (the ranking needs none, as a wrong one only costs calls).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,6 +30,8 @@
 import { createStallWatch } from './requests/stall-watch.js';
 import { createLoadMonitor } from './routing/load-monitor.js';
 import { createSelector } from './routing/selector.js';
+import { createRelayedStore, maxRelayDelayMs } from './relay/relayed-store.js';
+import { serveRelay } from './relay/relay-server.js';
 import { createCrashTable } from './store/crash-table.js';
 import { followTable } from './store/follow.js';
 import { createLeaseKeeper } from './store/lease-keeper.js';
@@ -44,6 +46,12 @@
   /** Address and path of the load balancer's health check. */
   readiness: Address & { path: string };
   metrics: Address | undefined;
+  /** Address on which other entries follow the store through this one; undefined for none. */
+  relay: Address | undefined;
+  /** Processor capacity of the VM in cores. */
+  cores: number;
+  /** Shortest time in milliseconds within which a change in the store must take hold. */
+  changeBoundMs: number;
   /** Time in milliseconds from the stop signal until the process is killed. */
   graceMs: number;
   retries: RetryLimits;
@@ -82,6 +90,8 @@
 const connectTimeoutMs = 300;
 /** Idle time in milliseconds after which a connection to a target is not reused. */
 const idleReuseMs = 500;
+/** Idle time in milliseconds after which a connection to a relay is not reused. */
+const relayKeepAliveMs = 4000;
 /** Maximum total size in bytes of callers' bodies that are being received. */
 const maxBufferedBytes = 64 * 1024 * 1024;
 /**
@@ -93,6 +103,8 @@
 const reportLagMs = 1000;
 /** Timeout in milliseconds of the connection attempt that checks whether a target is dead. */
 const reachabilityTimeoutMs = 50;
+/** Time in milliseconds in which a change that has arrived takes hold, on a busy VM. */
+const applyMarginMs = 300;
 /** Timeout in milliseconds for the release of the lease; the end of the grace time must hold it. */
 const releaseTimeoutMs = 200;
 
@@ -102,7 +114,7 @@
   } = deps;
   const log = deps.log.child({ node: cfg.node });
   const requestLog = createRequestLog({ log, clock });
-  const { store, rows, callers } = ports;
+  const { rows, callers } = ports;
   const events = new Emittery<GatewayEvents>();
   const readBody = createBodyReader({ maxBufferedBytes });
   const targets = createTargetTable();
@@ -127,10 +139,35 @@
     server?.apply(limits);
     events.emit('config', version);
   });
+  const relayServer = cfg.relay && await serveRelay(
+    cfg.relay,
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called after both exist
+    (table) => store.logOf(table),
+  );
+  const lease = createLeaseKeeper({
+    clock,
+    random,
+    log,
+    store: ports.store,
+    node: cfg.node,
+    relay: cfg.relay && {
+      address: `${cfg.relay.host}:${relayServer!.port}`, zone: cfg.zone, cores: cfg.cores,
+    },
+  });
+  const relayExchanger = createExchanger({ connectTimeoutMs, keepAliveMs: relayKeepAliveMs });
+  const store = createRelayedStore({
+    clock,
+    log,
+    store: ports.store,
+    exchanger: relayExchanger,
+    node: cfg.node,
+    zone: cfg.zone,
+    isEnabled: () => options.changeBoundMs > maxRelayDelayMs + applyMarginMs,
+    entries: lease.entries,
+  });
   const followDeps = {
     clock, random, log, store,
   };
-  const lease = createLeaseKeeper({ ...followDeps, node: cfg.node });
   const selector = createSelector({
     clock,
     random,
@@ -214,7 +251,10 @@
     .forEach((next) => config.offer(next));
   const followers = [
     followTable({
-      table: rows.configTable, onRows: offerConfig, onChanges: offerConfig,
+      table: rows.configTable,
+      onStoreRestored: lease.storeRestored,
+      onRows: offerConfig,
+      onChanges: offerConfig,
     }, followDeps),
     followTable({ table: rows.targetTable, ...targetList }, followDeps),
   ];
@@ -317,10 +357,12 @@
     events,
     ports: { front: server.port, readiness: probes[0]!.port },
     apply(next) {
-      const withCurrentValues = { ...next, graceMs: options.graceMs, retries: options.retries };
-      const needsRestart = !isDeepStrictEqual(withCurrentValues, options);
-      options = { ...options, graceMs: next.graceMs, retries: next.retries };
-      log.info({ graceMs: next.graceMs, retries: next.retries, needsRestart }, 'settings read again');
+      const changeable = ({ graceMs, retries, changeBoundMs }: GatewayOptions) => ({
+        graceMs, retries, changeBoundMs,
+      });
+      const needsRestart = !isDeepStrictEqual({ ...next, ...changeable(options) }, options);
+      options = { ...options, ...changeable(next) };
+      log.info({ ...changeable(next), needsRestart }, 'settings read again');
     },
     async stop(signal) {
       stoppingAt = clock.now();
@@ -343,6 +385,8 @@
       targetList.close();
       crashTable.close();
       probes.forEach((probe) => probe.close());
+      relayServer?.close();
+      relayExchanger.close();
       server?.destroy();
       requestLog.close();
       stalls.close();
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,7 +2,13 @@
 export * from './gateway.js';
 export * from './metrics.js';
 export type * from './ports.js';
+export * from './relay/choose-relay.js';
+export * from './relay/encoding.js';
+export * from './relay/relay-server.js';
+export * from './relay/relayed-store.js';
+export * from './relay/table-log.js';
 export * from './store/crash-table.js';
+export type * from './store/entry-rows.js';
 export * from './store/follow.js';
 export * from './store/lease-keeper.js';
 export * from './store/target-list.js';
--- a/packages/gateway/src/store/entry-rows.ts
+++ b/packages/gateway/src/store/entry-rows.ts
@@ -2,9 +2,20 @@
 import type { Clock } from '@verbenashunt/core';
 import type { StoredRow } from '../ports.js';
 
+/** How other entries follow the store through an entry. */
+export interface RelayAddress {
+  /** IP:PORT. */
+  address: string;
+  zone: string;
+  /** Processor capacity of the VM in cores. */
+  cores: number;
+}
+
 /** Content of an entry's row. */
 export interface EntryRecord {
   node: string;
+  /** Undefined if it does not pass on changes of the store. */
+  relay: RelayAddress | undefined;
   /** Time in milliseconds on the store's clock when it serves again; undefined while it serves. */
   backAt: number | undefined;
 }
@@ -19,14 +30,21 @@
 /** Time at which an entry that starts to stop at `now` is expected to serve again. */
 export const expectedBackAt = (now: number, graceMs: number) => now + graceMs + restartTimeMs;
 
-function parseBackAt(value: Buffer): number | undefined {
-  const { backAt } = JSON.parse(value.toString()) as Partial<Record<'backAt', unknown>>;
-  return typeof backAt === 'number' ? backAt : undefined;
+function parseRelay(value: unknown): RelayAddress | undefined {
+  const { address, zone, cores } = (value ?? {}) as Partial<RelayAddress>;
+  return typeof address === 'string' && typeof zone === 'string' && Number.isFinite(cores)
+    ? { address, zone, cores: cores! }
+    : undefined;
+}
+
+function parseEntry(value: Buffer): Omit<EntryRecord, 'node'> {
+  const { backAt, relay } = JSON.parse(value.toString()) as Partial<Record<'backAt' | 'relay', unknown>>;
+  return { backAt: typeof backAt === 'number' ? backAt : undefined, relay: parseRelay(relay) };
 }
 
 /**
  * Decodes the rows of entries, and skips all others. An entry whose row is invalid is still
- * returned, without `backAt`, and the error is passed to `onInvalidRow`.
+ * returned, with its name alone, and the error is passed to `onInvalidRow`.
  */
 export function decodeEntries(
   rows: readonly StoredRow[],
@@ -36,10 +54,10 @@
     if (value === undefined) return [];
     const node = key.slice(keyPrefix.length);
     try {
-      return [{ node, backAt: parseBackAt(value) }];
+      return [{ node, ...parseEntry(value) }];
     } catch (err) {
       onInvalidRow(key, err);
-      return [{ node, backAt: undefined }];
+      return [{ node, backAt: undefined, relay: undefined }];
     }
   });
 }
--- a/packages/gateway/src/store/follow.ts
+++ b/packages/gateway/src/store/follow.ts
@@ -9,7 +9,11 @@
 /** Default long-poll timeout in milliseconds; bounds how long a silent connection is unnoticed. */
 const defaultWaitMs = 1500;
 /** Pause after changes in milliseconds, so that one call fetches several changes. */
-const changeBatchMs = 120;
+const minBatchMs = 120;
+/** Longest pause in milliseconds; the pause doubles while each call finds changes at once. */
+const maxBatchMs = 480;
+/** Time in milliseconds within which the store answers a call that does not wait for changes. */
+const immediateMs = 30;
 /** Delays after consecutive failures in milliseconds; the last one repeats. */
 const backoffMs = [100, 250, 500, 700] as const;
 
@@ -50,6 +54,7 @@
   /** Undefined until the first answer. */
   let era: number | undefined;
   let failures = 0;
+  let batchMs: number = minBatchMs;
   /** When the store last answered. */
   let answeredAt = clock.now();
   let isClosed = false;
@@ -91,13 +96,16 @@
   }
 
   async function readChanges(after: number) {
+    const askedAt = clock.now();
     const state = await store.changes(table, after, waitMs);
     // The version to continue from belongs to another era, so changes may be missing.
     if (state.era !== era) throw new HistoryLostError(`${table} was followed from era ${era} to ${state.era}`);
     recordAnswer(state);
     if (state.rows.length === 0) return;
+    const isImmediate = clock.now() - askedAt < immediateMs;
+    batchMs = isImmediate ? Math.min(maxBatchMs, 2 * batchMs) : minBatchMs;
     followed.onChanges(state.rows);
-    await wait(changeBatchMs);
+    await wait(batchMs);
   }
 
   function recordFailure(err: unknown) {
--- a/packages/gateway/src/store/lease-keeper.ts
+++ b/packages/gateway/src/store/lease-keeper.ts
@@ -10,14 +10,25 @@
 } from '@verbenashunt/core';
 import type { RowStore, StoredRow, StoreState } from '../ports.js';
 import {
-  createEntryList, decodeEntries, entryKey, expectedBackAt, nextEntryMs,
+  createEntryList, decodeEntries, entryKey, expectedBackAt, nextEntryMs, type EntryRecord,
+  type RelayAddress,
 } from './entry-rows.js';
 
 const table = 'verbenashunt';
 /** Delay in milliseconds after a failed call to the store. */
 const retryMs = 500;
-/** Maximum interval in milliseconds between reads while another entry holds the lease. */
-const maxReadMs = 4000;
+/**
+ * Times after the start of an entry, in milliseconds, by which it reads the rows again at the
+ * latest, so that it soon knows the entries that started with it.
+ */
+const firstReadsMs = [1200, 5000, 9000] as const;
+/**
+ * Delay in milliseconds, on average, after the expiry of another entry's lease until one of the
+ * entries reads it. The larger the fleet, the more seldom each of them reads.
+ */
+const takeoverMs = 250;
+/** Time in milliseconds over which entries spread their reads after a restoration of the store. */
+const restoredSpreadMs = 4000;
 /** Read interval in milliseconds of a stopping entry, which tells callers when to retry. */
 const stoppingReadMs = 1000;
 /** Delay in milliseconds after the expiry of another entry's lease before it is read again. */
@@ -29,6 +40,8 @@
   log: Logger;
   store: RowStore;
   node: string;
+  /** How other entries follow the store through this one; undefined if they don't. */
+  relay?: RelayAddress;
 }
 
 /** Permission to send orders to engines. */
@@ -46,6 +59,8 @@
 export interface LeaseKeeper {
   /** Undefined while this entry must not send orders. */
   orderPermit(): OrderPermit | undefined;
+  /** Known entries, this one included once it has read its own row. */
+  entries(): readonly EntryRecord[];
   /** Number of known entries, at least 1. */
   entryCount(): number;
   /** To be called when a target refuses an order because it has seen a higher token. */
@@ -60,6 +75,8 @@
    * from now on, but keeps renewing one that it holds.
    */
   announceStop(graceMs: number): void;
+  /** To be called when the store was restored from an older copy, so that the rows are checked. */
+  storeRestored(): void;
   /** Ends the lease so that another entry can take over at once; never rejects. */
   release(): Promise<void>;
   close(): void;
@@ -73,8 +90,9 @@
 
 export function createLeaseKeeper(deps: LeaseKeeperDeps): LeaseKeeper {
   const {
-    clock, random, log, store, node,
+    clock, random, log, store, node, relay,
   } = deps;
+  const startedAt = clock.now();
   const entries = createEntryList(clock);
   let held: LeaseRecord | undefined;
   /** Version of the row with the lease; 0 if there is none. */
@@ -135,7 +153,7 @@
 
   async function register() {
     if (isRegistered) return;
-    const value = encode({ node, backAt });
+    const value = encode({ node, backAt, relay });
     recordState(await store.write({ expect: [], put: [{ table, key: entryKey(node), value }] }));
     isRegistered = true;
   }
@@ -159,6 +177,15 @@
     return leaseRenewMs;
   }
 
+  /** Milliseconds until the next read while another entry holds the lease. */
+  function readAgainMs(expiresInMs: number): number {
+    const spreadMs = Math.max(retryMs, takeoverMs * 2 * entries.all.length);
+    const waitMs = Math.max(0, expiresInMs) + expiryMarginMs + random() * spreadMs;
+    const ageMs = clock.now() - startedAt;
+    const firstReadMs = firstReadsMs.find((ms) => ms > ageMs) ?? Infinity;
+    return Math.min(waitMs, firstReadMs - ageMs);
+  }
+
   async function readTable(): Promise<number> {
     const state = await store.read(table);
     recordState(state);
@@ -178,8 +205,7 @@
     if (!isRegistered) return 0;
     if (isStopping) return stoppingReadMs;
     if (next) return waitMs + random() * retryMs;
-    const expiresInMs = Math.max(0, current!.until - state.now);
-    return Math.min(maxReadMs, expiresInMs + expiryMarginMs + random() * retryMs);
+    return readAgainMs(current!.until - state.now);
   }
 
   async function renewOrAcquire(): Promise<number> {
@@ -234,6 +260,7 @@
       const token = isHolderUnknown ? newestToken : held?.token ?? 0;
       return token > highestFenced ? { token, isHolderUnknown } : undefined;
     },
+    entries: () => entries.all,
     entryCount: () => Math.max(1, entries.all.length),
     nextEntryMs: () => nextEntryMs(entries.all, node, clock.now() + clockOffset),
     onFenced(token) {
@@ -248,6 +275,11 @@
       isRegistered = false;
       runNow();
     },
+    storeRestored() {
+      clock.after(restoredSpreadMs * random(), () => {
+        if (!isClosed) runNow();
+      });
+    },
     async release() {
       close();
       if (!held) return;
--- a/scripts/generate.ts
+++ b/scripts/generate.ts
@@ -1,6 +1,7 @@
 /**
- * Generates types and validators from packages/schema/schemas and platform/schemas, and the parser
- * of the query language. With --check nothing is written; the exit code is 1 if a file is stale.
+ * Generates types and validators from the schemas of packages/schema, packages/gateway and
+ * platform, and the parser of the query language. With --check nothing is written; the exit code is
+ * 1 if a file is stale.
  */
 import {
   mkdir, readFile, readdir, writeFile,
@@ -15,6 +16,7 @@
 /** Schema directories and the output directories of their generated code. */
 const roots = [
   { schemaDir: 'packages/schema/schemas', outDir: 'packages/schema/src/generated' },
+  { schemaDir: 'packages/gateway/schemas', outDir: 'packages/gateway/src/generated' },
   { schemaDir: 'platform/schemas', outDir: 'platform/src/generated' },
 ];
 const grammarFile = 'packages/core/src/query/query.peggy';
