--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,13 +4,10 @@
 import Emittery from 'emittery';
 import type { Logger } from 'pino';
 import {
-  createRefusal, createServingConfigHolder, createTargetPauses, createTargetTable,
-  errorFields, incarnationOf, sameRange, SystemClock,
-  type Clock, type LapseGraceOptions, type RetryLimits, type ServingTarget,
+  createRefusal, createServingConfigHolder, errorFields, SystemClock,
+  type Clock, type RetryLimits,
 } from '@verbenashunt/core';
-import {
-  createBodyReader, createExchanger, drain, acceptsConnection,
-} from '@verbenashunt/wire';
+import { createBodyReader, drain } from '@verbenashunt/wire';
 import { createCallerHandler } from './http/caller-handler.js';
 import {
   serveCallers, serveProbe, type Address, type CallerServer,
@@ -19,43 +16,27 @@
 import { createGatewayMetrics, type GatewayMetrics } from './metrics.js';
 import { createPlacementController } from './placement/controller.js';
 import type { PlatformPorts, StoredRow } from './ports.js';
-import { createChainWatch } from './requests/chain-watch.js';
-import { createCrashWatch } from './requests/crash-watch.js';
 import { createTargetProgress } from './requests/progress.js';
 import { createRequestLog } from './requests/request-log.js';
 import { startRun } from './requests/run.js';
 import { createServiceStates } from './requests/service-states.js';
 import type { RequestRun, RequestSpec } from './requests/spec.js';
 import { isTooLate, stopMarginMs, stoppingRetryMs } from './requests/stop-window.js';
-import { createStallWatch } from './requests/stall-watch.js';
-import { createLoadMonitor } from './routing/load-monitor.js';
-import { createSelector } from './routing/selector.js';
-import { createRelayedStore, maxRelayDelayMs } from './relay/relayed-store.js';
-import { serveRelay } from './relay/relay-server.js';
-import { createCrashTable } from './store/crash-table.js';
 import { followTable } from './store/follow.js';
-import { createLeaseKeeper } from './store/lease-keeper.js';
-import { createTargetList } from './store/target-list.js';
-import { createTargetExchanger } from './targets/target-exchanger.js';
+import { createStoreAccess, type StoreAccessOptions } from './store/store-access.js';
+import { createTargetTracking, type TargetTrackingOptions } from './targets/target-tracking.js';
 
-export interface GatewayOptions {
-  node: string;
-  zone: string;
+export interface GatewayOptions extends StoreAccessOptions, TargetTrackingOptions {
   /** Address on which callers are served. */
   front: Address;
   /** Address and path of the load balancer's health check. */
   readiness: Address & { path: string };
   metrics: Address | undefined;
-  /** Address on which other entries follow the store through this one; undefined for none. */
-  relay: Address | undefined;
-  /** Processor capacity of the VM in cores. */
-  cores: number;
   /** Shortest time in milliseconds within which a change in the store must take hold. */
   changeBoundMs: number;
   /** Time in milliseconds from the stop signal until the process is killed. */
   graceMs: number;
   retries: RetryLimits;
-  lapseGrace: LapseGraceOptions;
 }
 
 export interface GatewayDeps {
@@ -83,15 +64,6 @@
   stop(signal?: AbortSignal): Promise<boolean>;
 }
 
-/**
- * Timeout in milliseconds for a connection to a target; a round trip within a region takes a few
- * milliseconds.
- */
-const connectTimeoutMs = 300;
-/** Idle time in milliseconds after which a connection to a target is not reused. */
-const idleReuseMs = 500;
-/** Idle time in milliseconds after which a connection to a relay is not reused. */
-const relayKeepAliveMs = 4000;
 /** Maximum total size in bytes of callers' bodies that are being received. */
 const maxBufferedBytes = 64 * 1024 * 1024;
 /**
@@ -99,12 +71,6 @@
  * balancer, which checks once a second.
  */
 const stopNoticeMs = 2200;
-/** Time in milliseconds by which a target's report may be older than its row, network included. */
-const reportLagMs = 1000;
-/** Timeout in milliseconds of the connection attempt that checks whether a target is dead. */
-const reachabilityTimeoutMs = 50;
-/** Time in milliseconds in which a change that has arrived takes hold, on a busy VM. */
-const applyMarginMs = 300;
 /** Timeout in milliseconds for the release of the lease; the end of the grace time must hold it. */
 const releaseTimeoutMs = 200;
 
@@ -117,15 +83,6 @@
   const { rows, callers } = ports;
   const events = new Emittery<GatewayEvents>();
   const readBody = createBodyReader({ maxBufferedBytes });
-  const targets = createTargetTable();
-  const pauses = createTargetPauses(clock);
-  const exchanger = createTargetExchanger({
-    log,
-    exchanger: createExchanger({ connectTimeoutMs, keepAliveMs: idleReuseMs }),
-    protocol: ports.targets,
-    targets,
-    pauses,
-  });
   const runs = new Set<RequestRun>();
   const progress = createTargetProgress();
   let options = cfg;
@@ -139,92 +96,8 @@
     server?.apply(limits);
     events.emit('config', version);
   });
-  const relayServer = cfg.relay && await serveRelay(
-    cfg.relay,
-    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called after both exist
-    (table) => store.logOf(table),
-  );
-  const lease = createLeaseKeeper({
-    clock,
-    random,
-    log,
-    store: ports.store,
-    node: cfg.node,
-    relay: cfg.relay && {
-      address: `${cfg.relay.host}:${relayServer!.port}`, zone: cfg.zone, cores: cfg.cores,
-    },
-  });
-  const relayExchanger = createExchanger({ connectTimeoutMs, keepAliveMs: relayKeepAliveMs });
-  const store = createRelayedStore({
-    clock,
-    log,
-    store: ports.store,
-    exchanger: relayExchanger,
-    node: cfg.node,
-    zone: cfg.zone,
-    isEnabled: () => options.changeBoundMs > maxRelayDelayMs + applyMarginMs,
-    entries: lease.entries,
-  });
-  const followDeps = {
-    clock, random, log, store,
-  };
-  const selector = createSelector({
-    clock,
-    random,
-    zone: cfg.zone,
-    targets,
-    pauses,
-    entryCount: lease.entryCount,
-    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- each refers to the other
-    loadMonitor: () => loadMonitor,
-  });
-  /** Targets of all services that run on engines. */
-  const engines = () => (config.view?.config.services ?? [])
-    .flatMap(({ name, engine }) => (engine ? targets.ofService(name) : []));
-  const loadMonitor = createLoadMonitor({
-    clock,
-    log,
-    exchanger,
-    protocol: ports.targets,
-    pauses,
-    ownTokens: selector.ownTokens,
-    onHeldLayers(target, held) {
-      // A report may be older than a row that has just changed.
-      const known = targets.byId(target.id);
-      if (!known || known.address !== target.address || sameRange(known.held, held)) return;
-      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called after both exist
-      if (clock.now() - targetList.changedAt(target.id) < reportLagMs) return;
-      log.info({ target: target.id, held, was: known.held }, 'target holds other layers than listed');
-      targets.setHeld(target.id, held);
-    },
-    engines: () => engines().filter(({ id, held, zone }) => lease.orderPermit() !== undefined
-      || (held !== undefined && (zone === cfg.zone || selector.ownTokens(id) > 0))),
-  });
-
-  function markDead({ id }: ServingTarget) {
-    selector.recordFailure(id);
-    loadMonitor.markUnreachable(id);
-  }
-
-  /** Marks a target dead that another entry saw crash, unless it accepts a connection. */
-  async function markDeadIfUnreachable(target: ServingTarget) {
-    if (await acceptsConnection(target.address, reachabilityTimeoutMs)) return;
-    markDead(target);
-  }
-
-  const crashTable = createCrashTable({
-    ...followDeps,
-    node: cfg.node,
-    onCrash(incarnation) {
-      const target = targets.all.find((other) => incarnationOf(other) === incarnation);
-      if (target) markDeadIfUnreachable(target);
-    },
-  });
-  const crashes = createCrashWatch({
-    log, exchanger, protocol: ports.targets, crashTable,
-  });
-  const stalls = createStallWatch({
-    clock, log, exchanger, protocol: ports.targets, pauses,
+  const { lease, store, close: closeStore } = await createStoreAccess(cfg, {
+    clock, random, log, store: ports.store, changeBoundMs: () => options.changeBoundMs,
   });
 
   /** Decodes a row; logs a row that is invalid and returns undefined. */
@@ -237,18 +110,24 @@
     }
   }
 
-  const targetList = createTargetList({
+  const tracking = createTargetTracking(cfg, {
     clock,
+    random,
     log,
-    targets,
-    graceOptions: cfg.lapseGrace,
-    isReachable: ({ address }) => acceptsConnection(address, reachabilityTimeoutMs),
-    decode: (row) => tryDecode(row, rows.decodeTarget),
+    store,
+    lease,
+    config,
+    protocol: ports.targets,
+    decodeTarget: (row) => tryDecode(row, rows.decodeTarget),
   });
+  const { targets, selector, loadMonitor } = tracking;
 
   const offerConfig = (changed: readonly StoredRow[]) => changed
     .flatMap((row) => tryDecode(row, rows.decodeConfig) ?? [])
     .forEach((next) => config.offer(next));
+  const followDeps = {
+    clock, random, log, store,
+  };
   const followers = [
     followTable({
       table: rows.configTable,
@@ -256,33 +135,21 @@
       onRows: offerConfig,
       onChanges: offerConfig,
     }, followDeps),
-    followTable({ table: rows.targetTable, ...targetList }, followDeps),
+    followTable({ table: rows.targetTable, ...tracking.targetList }, followDeps),
   ];
 
   const controller = createPlacementController({
     clock,
     log,
     config,
-    targets,
     lease,
-    exchanger,
     protocol: ports.targets,
-    pauses,
+    ...tracking,
     isDead: loadMonitor.isDead,
     // A target that refuses requests only because its memory is full keeps its layers.
     isFailing: (id) => selector.health.isFailing(id) && !loadMonitor.mayBeFull(id),
   });
 
-  const chains = createChainWatch({
-    clock,
-    log,
-    acceptsConnection,
-    onDead(target) {
-      markDead(target);
-      crashTable.recordCrash({ target: incarnationOf(target), fingerprints: [] });
-    },
-  });
-
   const serviceStateOf = createServiceStates({
     clock, limits: () => options.retries, entries: lease.entryCount,
   });
@@ -293,13 +160,9 @@
       clock,
       random,
       log: requestLog,
-      selector,
-      stallWatch: stalls,
-      chainWatch: chains,
-      crashWatch: crashes,
       progress,
-      exchanger,
       protocol: ports.targets,
+      ...tracking,
       ...serviceStateOf(spec.service.name),
       ...metrics.ofRequest(spec),
     });
@@ -328,7 +191,7 @@
     view: () => config.view,
     isStopping: () => stoppingAt !== undefined,
     refusalWhileStopping: (spec) => (isStopTooNear(spec) ? stoppingRefusal() : undefined),
-    isPoison: crashes.isPoison,
+    isPoison: tracking.crashWatch.isPoison,
     run,
   });
 
@@ -382,18 +245,11 @@
         clock.after(releaseTimeoutMs, () => resolve(undefined));
       })]);
       followers.forEach((follower) => follower.close());
-      targetList.close();
-      crashTable.close();
       probes.forEach((probe) => probe.close());
-      relayServer?.close();
-      relayExchanger.close();
       server?.destroy();
       requestLog.close();
-      stalls.close();
-      chains.close();
-      loadMonitor.close();
-      exchanger.close();
-      store.close();
+      tracking.close();
+      closeStore();
       log.info({ whole: isComplete }, 'stopped');
       return isComplete;
     },
--- /dev/null
+++ b/packages/gateway/src/requests/delivery.ts
@@ -0,0 +1,125 @@
+/** Passes a request's answer on to its caller, and logs how the request ended. */
+import type { IncomingHttpHeaders } from 'node:http';
+import {
+  createEventOrder, createRefusal, type Clock, type RefusalCode, type StreamEvent,
+} from '@verbenashunt/core';
+import type { RequestMetrics } from '../metrics.js';
+import { jitteredRetryAfterMs } from '../routing/admission.js';
+import type { Choice, Selector } from '../routing/selector.js';
+import type { RequestLog } from './request-log.js';
+import { createStreamTiming } from './stream-timing.js';
+import type {
+  AnswerSink, AnswerWriter, RequestSpec, WholeAnswer,
+} from './spec.js';
+
+export interface DeliveryDeps extends RequestMetrics {
+  clock: Clock;
+  random: () => number;
+  log: RequestLog;
+  selector: Pick<Selector, 'allPausedMs'>;
+}
+
+/** What served the request: the targets of the last attempt, and the number of attempts. */
+export interface Served {
+  choice: Choice;
+  attempts: number;
+}
+
+export interface Delivery {
+  /** Whether the caller has received a part of the answer. */
+  readonly hasStarted: boolean;
+  /** Id of the last event that the caller has received; undefined if there is none. */
+  readonly lastEventId: number | undefined;
+  /**
+   * Sends an event of the stream. Returns `repeated` for one that the caller already has, and `gap`
+   * for one that does not follow the last; neither is sent.
+   */
+  sendEvent(next: StreamEvent, headers: IncomingHttpHeaders): 'sent' | 'repeated' | 'gap';
+  complete(headers: IncomingHttpHeaders, served: Served): void;
+  sendWhole(answer: WholeAnswer, served: Served): void;
+  /** Passes on the error answer of a target. */
+  relayFailure(answer: WholeAnswer, served: Served): void;
+  /** Closes the caller's connection, so that the answer does not look complete. */
+  cutOff(reason: string): void;
+  refuse(code: RefusalCode, ran: 'no' | 'unknown', reason: string, attempts: number): void;
+}
+
+export function createDelivery(
+  spec: RequestSpec,
+  sink: AnswerSink,
+  deps: DeliveryDeps,
+): Delivery {
+  const { clock, log } = deps;
+  const { id } = spec.caller;
+  const eventOrder = createEventOrder(spec.caller.lastEventId);
+  const timing = createStreamTiming(clock, spec.arrivedAt);
+  let writer: AnswerWriter | undefined;
+
+  return {
+    get hasStarted() {
+      return writer !== undefined;
+    },
+    get lastEventId() {
+      return eventOrder.last;
+    },
+    sendEvent(next, headers) {
+      const verdict = eventOrder.accept(next);
+      if (verdict === 'repeated' || verdict === 'gap') return verdict;
+      const firstMs = timing.event();
+      if (firstMs !== undefined) deps.firstByteSent(firstMs);
+      writer ??= sink.open(200, headers);
+      writer.write(next.bytes.toString('latin1'));
+      return 'sent';
+    },
+    complete(headers, { choice, attempts }) {
+      writer ??= sink.open(200, headers);
+      log.info({
+        req: id,
+        target: choice.target.id,
+        stages: choice.parts.length,
+        zones: new Set(choice.parts.map(({ zone }) => zone)).size,
+        attempts,
+        ...timing.summary(),
+        events: eventOrder.last,
+      }, 'stream completed');
+      writer.end('');
+    },
+    sendWhole(answer, { choice, attempts }) {
+      const ms = clock.now() - spec.arrivedAt;
+      deps.firstByteSent(ms);
+      log.info({
+        req: id,
+        target: choice.target.id,
+        status: answer.status,
+        attempts,
+        ms: Math.round(ms),
+      }, 'request answered');
+      sink.sendWhole(answer);
+    },
+    relayFailure(answer, { choice, attempts }) {
+      const { status } = answer;
+      log.info({
+        req: id, target: choice.target.id, status, attempts,
+      }, 'failure passed on');
+      sink.sendWhole(answer);
+    },
+    cutOff(reason) {
+      log.info({ req: id, reason, last: eventOrder.last }, 'answer cut off');
+      sink.cutOff();
+    },
+    refuse(code, ran, reason, attempts) {
+      log.info({
+        req: id,
+        code,
+        ran,
+        reason,
+        attempts,
+        route: spec.route.name,
+        version: spec.version,
+      }, 'request refused');
+      const pausedMs = deps.selector.allPausedMs(spec.service.name);
+      const retryAfterMs = jitteredRetryAfterMs(deps.random(), pausedMs);
+      sink.refuse(createRefusal(code, { ran, ...(ran === 'no' ? { retryAfterMs } : {}) }));
+    },
+  };
+}
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -1,33 +1,28 @@
 /** Runs one request until it is answered: attempts, retries, resumed streams, deadline. */
 import type { IncomingHttpHeaders } from 'node:http';
 import {
-  afterAttempt, createEventOrder, createRefusal, mayRepeat, newRetryState, nextStep,
-  type AttemptEnd, type CancelTimer, type Clock, type RetryStep, type RefusalCode,
-  type RetryWindow, type StreamEvent,
+  afterAttempt, mayRepeat, newRetryState, nextStep,
+  type AttemptEnd, type CancelTimer, type RetryStep, type RefusalCode, type RetryWindow,
+  type StreamEvent,
 } from '@verbenashunt/core';
-import type { RequestMetrics } from '../metrics.js';
-import { chooseOnTime, jitteredRetryAfterMs } from '../routing/admission.js';
+import { chooseOnTime } from '../routing/admission.js';
 import { recordFailedAttempt } from '../routing/record-failure.js';
 import type { Choice, Selector } from '../routing/selector.js';
 import {
   startAttempt, type Attempt, type AttemptDeps, type AttemptFailure,
 } from './attempt.js';
 import type { CrashWatch } from './crash-watch.js';
+import { createDelivery, type DeliveryDeps } from './delivery.js';
 import type { StreamProgress, TargetProgress } from './progress.js';
-import type { RequestLog } from './request-log.js';
 import { createRerouter } from './reroute.js';
 import type { ResumeQueue } from './resume-queue.js';
 import { resumeAfterMs } from './silence.js';
 import { watchStream, type StreamWatchDeps } from './stream-watch.js';
-import { createStreamTiming } from './stream-timing.js';
 import type {
-  AnswerSink, AnswerWriter, RequestRun, RequestSpec, WholeAnswer,
+  AnswerSink, RequestRun, RequestSpec, WholeAnswer,
 } from './spec.js';
 
-export interface RunDeps extends AttemptDeps, RequestMetrics, StreamWatchDeps {
-  clock: Clock;
-  random: () => number;
-  log: RequestLog;
+export interface RunDeps extends AttemptDeps, DeliveryDeps, StreamWatchDeps {
   selector: Selector;
   crashWatch: CrashWatch;
   progress: TargetProgress;
@@ -44,13 +39,12 @@
 
 export function startRun(spec: RequestSpec, sink: AnswerSink, deps: RunDeps): RequestRun {
   const { clock, log, selector } = deps;
-  const eventOrder = createEventOrder(spec.caller.lastEventId);
+  const delivery = createDelivery(spec, sink, deps);
   const avoid = new Set<string>();
   let retryState = newRetryState();
   let attempts = 0;
   let attempt: Attempt | undefined;
   let choice: Choice | undefined;
-  let writer: AnswerWriter | undefined;
   let releaseHold = () => {};
   /** Cancels the time limit of an attempt, or the wait for a turn to resume. */
   let cancelTimer: CancelTimer = () => {};
@@ -61,7 +55,6 @@
   let quietSince = spec.arrivedAt;
   /** Progress of the current attempt; undefined for a call that is not a stream. */
   let progress: StreamProgress | undefined;
-  const timing = createStreamTiming(clock, spec.arrivedAt);
 
   const timeLeftMs = () => spec.expiresAt - clock.now();
 
@@ -81,40 +74,21 @@
   }
 
   function cutOff(reason: string) {
-    log.info({ req: spec.caller.id, reason, last: eventOrder.last }, 'answer cut off');
     close('cut');
-    sink.cutOff();
+    delivery.cutOff(reason);
   }
 
   function refuse(code: RefusalCode, ran: 'no' | 'unknown', reason: string) {
-    const { id } = spec.caller;
-    log.info({
-      req: id,
-      code,
-      ran,
-      reason,
-      attempts,
-      route: spec.route.name,
-      version: spec.version,
-    }, 'request refused');
     close(code);
-    const retryAfterMs = jitteredRetryAfterMs(
-      deps.random(),
-      selector.allPausedMs(spec.service.name),
-    );
-    sink.refuse(createRefusal(code, { ran, ...(ran === 'no' ? { retryAfterMs } : {}) }));
+    delivery.refuse(code, ran, reason, attempts);
   }
 
   function finish(step: RetryStep, failure: AttemptFailure) {
     if (step.do === 'cut') {
       cutOff(failure.reason);
     } else if (step.do === 'relay') {
-      const { status } = failure.answer!;
-      log.info({
-        req: spec.caller.id, target: choice!.target.id, status, attempts,
-      }, 'failure passed on');
       close('relayed');
-      sink.sendWhole(failure.answer!);
+      delivery.relayFailure(failure.answer!, { choice: choice!, attempts });
     } else if (step.do === 'refuse') {
       refuse(step.ran === 'no' ? 'overloaded' : 'interrupted', step.ran, failure.reason);
     }
@@ -130,7 +104,7 @@
   /** Ends the request early; `code` is the refusal if it can't have run. */
   function giveUp(code: RefusalCode, reason: string) {
     if (isOver) return;
-    if (writer) cutOff(reason);
+    if (delivery.hasStarted) cutOff(reason);
     else if (retryState.ran === 0 && !attempt?.isSent) refuse(code, 'no', reason);
     else refuse('outcome_unknown', 'unknown', reason);
   }
@@ -148,7 +122,7 @@
       blamed,
       end: attemptEnd,
       reason,
-      last: eventOrder.last,
+      last: delivery.lastEventId,
     }, 'attempt failed');
     const culprit = recordFailedAttempt(selector, {
       service: spec.service, sentTo: choice!.target.id, end: attemptEnd, blamed,
@@ -184,37 +158,22 @@
   }
   /* eslint-enable @typescript-eslint/no-use-before-define */
 
-  function answered(answer: WholeAnswer) {
+  /** Records that the targets of the last attempt served the request. */
+  function recordSuccess() {
     deps.crashWatch.answered(spec);
     choice!.parts.forEach(({ id }) => selector.health.recordSuccess(id));
-    const ms = clock.now() - spec.arrivedAt;
-    deps.firstByteSent(ms);
-    log.info({
-      req: spec.caller.id,
-      target: choice!.target.id,
-      status: answer.status,
-      attempts,
-      ms: Math.round(ms),
-    }, 'request answered');
+  }
+
+  function answered(answer: WholeAnswer) {
+    recordSuccess();
     close('answered');
-    sink.sendWhole(answer);
+    delivery.sendWhole(answer, { choice: choice!, attempts });
   }
 
   function completed(headers: IncomingHttpHeaders) {
-    deps.crashWatch.answered(spec);
-    choice!.parts.forEach(({ id }) => selector.health.recordSuccess(id));
-    writer ??= sink.open(200, headers);
-    log.info({
-      req: spec.caller.id,
-      target: choice!.target.id,
-      stages: choice!.parts.length,
-      zones: new Set(choice!.parts.map(({ zone }) => zone)).size,
-      attempts,
-      ...timing.summary(),
-      events: eventOrder.last,
-    }, 'stream completed');
+    recordSuccess();
     close('completed');
-    writer.end('');
+    delivery.complete(headers, { choice: choice!, attempts });
   }
 
   /** Ends the attempt as failed; `blamed` is the address of the target at fault. */
@@ -257,19 +216,16 @@
   }
 
   function event(next: StreamEvent, headers: IncomingHttpHeaders) {
-    const verdict = eventOrder.accept(next);
+    const last = delivery.lastEventId;
+    const verdict = delivery.sendEvent(next, headers);
     if (verdict === 'repeated') return;
     if (verdict === 'gap') {
-      abandon(`gap in the stream: event ${next.id} follows ${eventOrder.last}`, undefined, 'broken');
+      abandon(`gap in the stream: event ${next.id} follows ${last}`, undefined, 'broken');
       return;
     }
-    progress?.event(clock.now());
-    const firstMs = timing.event();
-    if (firstMs !== undefined) deps.firstByteSent(firstMs);
     quietSince = clock.now();
-    writer ??= sink.open(200, headers);
+    progress?.event(quietSince);
     retryState = { ...retryState, delivered: true };
-    writer.write(next.bytes.toString('latin1'));
     rerouter.moveIfDraining();
   }
 
@@ -314,7 +270,7 @@
       target: choice.target,
       chain: choice.chain,
       timeLeftMs: timeLeftMs(),
-      lastEventId: eventOrder.last,
+      lastEventId: delivery.lastEventId,
     }, {
       isStream: spec.kind === 'stream',
       dedicatedConnection: spec.kind !== 'idempotent' || attempts > 1,
@@ -344,7 +300,7 @@
       log.info({
         req: spec.caller.id,
         target: choice?.target.id,
-        last: eventOrder.last,
+        last: delivery.lastEventId,
         ms: Math.round(clock.now() - spec.arrivedAt),
       }, 'caller left');
       close('left');
--- /dev/null
+++ b/packages/gateway/src/store/store-access.ts
@@ -0,0 +1,77 @@
+/**
+ * An entry's access to the store: the lease, its own row, and the tables that it follows by itself
+ * or through another entry of its zone.
+ */
+import type { Logger } from 'pino';
+import type { Clock } from '@verbenashunt/core';
+import { createExchanger } from '@verbenashunt/wire';
+import type { Address } from '../http/server.js';
+import type { RowStore } from '../ports.js';
+import { createRelayedStore, maxRelayDelayMs, type RelayedStore } from '../relay/relayed-store.js';
+import { serveRelay } from '../relay/relay-server.js';
+import { createLeaseKeeper, type LeaseKeeper } from './lease-keeper.js';
+
+export interface StoreAccessOptions {
+  node: string;
+  zone: string;
+  /** Address on which other entries follow the store through this one; undefined for none. */
+  relay: Address | undefined;
+  /** Processor capacity of the VM in cores. */
+  cores: number;
+}
+
+export interface StoreAccessDeps {
+  clock: Clock;
+  random: () => number;
+  log: Logger;
+  store: RowStore;
+  /** Shortest time in milliseconds within which a change in the store must take hold. */
+  changeBoundMs(): number;
+}
+
+export interface StoreAccess {
+  lease: LeaseKeeper;
+  /** The store, with changes followed through a relay where the bounds allow it. */
+  store: RowStore;
+  close(): void;
+}
+
+/** Timeout in milliseconds for a connection to a relay, which is in the same zone. */
+const connectTimeoutMs = 300;
+/** Idle time in milliseconds after which a connection to a relay is not reused. */
+const keepAliveMs = 4000;
+/** Time in milliseconds in which a change that has arrived takes hold, on a busy VM. */
+const applyMarginMs = 300;
+
+export async function createStoreAccess(
+  {
+    node, zone, relay, cores,
+  }: StoreAccessOptions,
+  deps: StoreAccessDeps,
+): Promise<StoreAccess> {
+  const exchanger = createExchanger({ connectTimeoutMs, keepAliveMs });
+  let relayedStore: RelayedStore | undefined;
+  const server = relay && await serveRelay(relay, (table) => relayedStore?.logOf(table));
+  const lease = createLeaseKeeper({
+    ...deps,
+    node,
+    relay: relay && { address: `${relay.host}:${server!.port}`, zone, cores },
+  });
+  relayedStore = createRelayedStore({
+    ...deps,
+    exchanger,
+    node,
+    zone,
+    isEnabled: () => deps.changeBoundMs() > maxRelayDelayMs + applyMarginMs,
+    entries: lease.entries,
+  });
+  return {
+    lease,
+    store: relayedStore,
+    close() {
+      server?.close();
+      exchanger.close();
+      deps.store.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/targets/target-tracking.ts
@@ -0,0 +1,186 @@
+/**
+ * What an entry knows of its targets and how it chooses among them: their list, their reports, the
+ * failures that requests met, and crashes that other entries recorded.
+ */
+import type { Logger } from 'pino';
+import {
+  createTargetPauses, createTargetTable, incarnationOf, sameRange,
+  type Clock, type HeldRange, type LapseGraceOptions, type ServingConfigHolder,
+  type ServingTarget, type TargetPauses, type TargetTable,
+} from '@verbenashunt/core';
+import { acceptsConnection, createExchanger, type Exchanger } from '@verbenashunt/wire';
+import type { RowStore, StoredRow, TargetProtocol } from '../ports.js';
+import { createChainWatch, type ChainWatch } from '../requests/chain-watch.js';
+import { createCrashWatch, type CrashWatch } from '../requests/crash-watch.js';
+import { createStallWatch, type StallWatch } from '../requests/stall-watch.js';
+import { createLoadMonitor, type LoadMonitor } from '../routing/load-monitor.js';
+import { createSelector, type Selector } from '../routing/selector.js';
+import { createCrashTable } from '../store/crash-table.js';
+import type { LeaseKeeper } from '../store/lease-keeper.js';
+import { createTargetList, type TargetList } from '../store/target-list.js';
+import { createTargetExchanger } from './target-exchanger.js';
+
+export interface TargetTrackingOptions {
+  node: string;
+  zone: string;
+  lapseGrace: LapseGraceOptions;
+}
+
+export interface TargetTrackingDeps {
+  clock: Clock;
+  random: () => number;
+  log: Logger;
+  store: RowStore;
+  lease: LeaseKeeper;
+  config: ServingConfigHolder;
+  protocol: TargetProtocol;
+  /** Returns undefined for a row that names no usable target. */
+  decodeTarget(row: StoredRow): ServingTarget | undefined;
+}
+
+export interface TargetTracking {
+  targets: TargetTable;
+  pauses: TargetPauses;
+  /** For all requests to targets. */
+  exchanger: Exchanger;
+  selector: Selector;
+  loadMonitor: LoadMonitor;
+  /** Applies the rows of the table of targets. */
+  targetList: TargetList;
+  chainWatch: ChainWatch;
+  crashWatch: CrashWatch;
+  stallWatch: StallWatch;
+  close(): void;
+}
+
+/**
+ * Timeout in milliseconds for a connection to a target; a round trip within a region takes a few
+ * milliseconds.
+ */
+const connectTimeoutMs = 300;
+/** Idle time in milliseconds after which a connection to a target is not reused. */
+const idleReuseMs = 500;
+/** Time in milliseconds by which a target's report may be older than its row, network included. */
+const reportLagMs = 1000;
+/** Timeout in milliseconds of the connection attempt that checks whether a target is dead. */
+const reachabilityTimeoutMs = 50;
+
+export function createTargetTracking(
+  { node, zone, lapseGrace }: TargetTrackingOptions,
+  deps: TargetTrackingDeps,
+): TargetTracking {
+  const {
+    clock, random, log, store, lease, config, protocol,
+  } = deps;
+  const targets = createTargetTable();
+  const pauses = createTargetPauses(clock);
+  const exchanger = createTargetExchanger({
+    log,
+    exchanger: createExchanger({ connectTimeoutMs, keepAliveMs: idleReuseMs }),
+    protocol,
+    targets,
+    pauses,
+  });
+  const isReachable = ({ address }: ServingTarget) => acceptsConnection(
+    address,
+    reachabilityTimeoutMs,
+  );
+  const targetList = createTargetList({
+    clock, log, targets, graceOptions: lapseGrace, isReachable, decode: deps.decodeTarget,
+  });
+  const selector = createSelector({
+    clock,
+    random,
+    zone,
+    targets,
+    pauses,
+    entryCount: lease.entryCount,
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- each refers to the other
+    loadMonitor: () => loadMonitor,
+  });
+
+  /** Targets of all services that run on engines. */
+  const engines = () => (config.view?.config.services ?? [])
+    .flatMap(({ name, engine }) => (engine ? targets.ofService(name) : []));
+
+  /** Whether this entry needs the reports of an engine. */
+  const isPolled = ({ id, held, zone: targetZone }: ServingTarget) => (
+    lease.orderPermit() !== undefined
+    || (held !== undefined && (targetZone === zone || selector.ownTokens(id) > 0)));
+
+  /** Takes over the layers that a target reports, unless its row has just changed. */
+  function onHeldLayers(target: ServingTarget, held: HeldRange | undefined) {
+    const known = targets.byId(target.id);
+    if (!known || known.address !== target.address || sameRange(known.held, held)) return;
+    if (clock.now() - targetList.changedAt(target.id) < reportLagMs) return;
+    log.info({ target: target.id, held, was: known.held }, 'target holds other layers than listed');
+    targets.setHeld(target.id, held);
+  }
+
+  const loadMonitor = createLoadMonitor({
+    clock,
+    log,
+    exchanger,
+    protocol,
+    pauses,
+    ownTokens: selector.ownTokens,
+    onHeldLayers,
+    engines: () => engines().filter(isPolled),
+  });
+
+  function markDead({ id }: ServingTarget) {
+    selector.recordFailure(id);
+    loadMonitor.markUnreachable(id);
+  }
+
+  /** Marks a target dead that another entry saw crash, unless it accepts a connection. */
+  async function markDeadIfUnreachable(target: ServingTarget) {
+    if (!await isReachable(target)) markDead(target);
+  }
+
+  const crashTable = createCrashTable({
+    clock,
+    random,
+    log,
+    store,
+    node,
+    onCrash(incarnation) {
+      const target = targets.all.find((other) => incarnationOf(other) === incarnation);
+      if (target) markDeadIfUnreachable(target);
+    },
+  });
+  const chainWatch = createChainWatch({
+    clock,
+    log,
+    acceptsConnection,
+    onDead(target) {
+      markDead(target);
+      crashTable.recordCrash({ target: incarnationOf(target), fingerprints: [] });
+    },
+  });
+  const stallWatch = createStallWatch({
+    clock, log, exchanger, protocol, pauses,
+  });
+
+  return {
+    targets,
+    pauses,
+    exchanger,
+    selector,
+    loadMonitor,
+    targetList,
+    chainWatch,
+    crashWatch: createCrashWatch({
+      log, exchanger, protocol, crashTable,
+    }),
+    stallWatch,
+    close() {
+      targetList.close();
+      crashTable.close();
+      stallWatch.close();
+      chainWatch.close();
+      loadMonitor.close();
+      exchanger.close();
+    },
+  };
+}
