Send nothing on for callers that have left; choose chains faster

Change: a request is sent on one turn of the loop after it was read, and dropped if its caller's side was closed by then. A chain is first looked for within each zone; all targets together are compared only if a change of zone could be cheaper (the change and the fastest layers cost less). Of the paths to a layer boundary, the three cheapest for each zone are followed; layer costs and links between zones are computed once for a choice.

Tests: 'a request whose caller had already left when it was read is not sent on' failed before; 'following only the cheapest paths to each zone finds a chain as cheap'.

--- a/packages/core/src/routing/chain.ts
+++ b/packages/core/src/routing/chain.ts
@@ -28,6 +28,11 @@
   candidates: readonly StageCandidate[];
   /** One-way latency between two targets in milliseconds; `from` is undefined for the entry. */
   linkMs(from: StageCandidate | undefined, to: StageCandidate): number;
+  /**
+   * Group of a target, where `linkMs` depends on the groups of both targets alone; only the
+   * cheapest paths to each group are then followed. Absent where it depends on more.
+   */
+  linkGroupOf?(candidate: StageCandidate): string;
   /** Expected size of the request; one prompt token and one answer token when absent. */
   size?: RequestSize;
   /** Draws the subset of candidates to compare; all are compared when absent. */
@@ -38,6 +43,12 @@
 
 export const defaultSamples = 3;
 
+/**
+ * Paths that are followed for each layer boundary and group of targets with equal links. More than
+ * one, since a target that a path has already used can't extend it.
+ */
+const pathsPerGroup = 3;
+
 const oneToken: RequestSize = { promptTokens: 1, answerTokens: 1 };
 
 /** A path to a layer boundary, as a linked list from its last stage to the first. */
@@ -59,23 +70,40 @@
   return [...stagesOf(path.previous!), { node: candidate.node, lo, hi }];
 }
 
+/** The cheapest of the paths for each group of their last targets. */
+function prune(paths: Path[], { linkGroupOf }: ChainQuery): Path[] {
+  if (!linkGroupOf || paths.length <= pathsPerGroup) return paths;
+  const counts = new Map<string, number>();
+  return paths.sort((a, b) => a.cost - b.cost).filter(({ candidate }) => {
+    const group = linkGroupOf(candidate!);
+    const count = (counts.get(group) ?? 0) + 1;
+    counts.set(group, count);
+    return count <= pathsPerGroup;
+  });
+}
+
 const cheaper = (a: Path | undefined, b: Path) => (a && a.cost <= b.cost ? a : b);
 
+interface CandidateCost {
+  candidate: StageCandidate;
+  /** Milliseconds that one layer of the request takes. */
+  layerMs: number;
+}
+
 /** Returns the cheapest path to boundary `to` whose last stage runs on `candidate`. */
 function extend(
   query: ChainQuery,
   reached: ReadonlyMap<number, Path[]>,
-  candidate: StageCandidate,
+  { candidate, layerMs }: CandidateCost,
   to: number,
 ): Path | undefined {
   const { size = oneToken } = query;
-  const layerCost = layerCostMs(candidate, size);
   let best: Path | undefined;
   reached.forEach((paths, from) => {
     if (from < candidate.lo || from >= to) return;
     paths.forEach((previous) => {
       const link = query.linkMs(previous.candidate, candidate) * size.answerTokens;
-      const cost = previous.cost + link + layerCost * (to - from);
+      const cost = previous.cost + link + layerMs * (to - from);
       if (best && best.cost <= cost) return;
       if (uses(previous, candidate.node)) return;
       best = cheaper(best, {
@@ -93,12 +121,15 @@
   const origin: Path = {
     candidate: undefined, lo: 0, hi: 0, previous: undefined, cost: 0,
   };
+  const { size = oneToken } = query;
+  const costs = candidates
+    .map((candidate) => ({ candidate, layerMs: layerCostMs(candidate, size) }));
   const reached = new Map([[0, [origin]]]);
   boundaries.forEach((to) => {
-    const paths = candidates
-      .filter(({ lo, hi }) => lo < to && hi >= to)
-      .flatMap((candidate) => extend(query, reached, candidate, to) ?? []);
-    if (paths.length > 0) reached.set(to, paths);
+    const paths = costs
+      .filter(({ candidate: { lo, hi } }) => lo < to && hi >= to)
+      .flatMap((cost) => extend(query, reached, cost, to) ?? []);
+    if (paths.length > 0) reached.set(to, prune(paths, query));
   });
   return (reached.get(query.layers) ?? [])
     .reduce<Path | undefined>((best, path) => cheaper(best, path), undefined);
--- a/packages/core/src/serving/chain-choice.ts
+++ b/packages/core/src/serving/chain-choice.ts
@@ -4,9 +4,12 @@
  * compute time of the stages, their free KV cache and the network between availability zones.
  */
 import { kvTokensOf } from '../placement/hosts.js';
-import { chooseChain, type ChainStage } from '../routing/chain.js';
-import type { RequestSize, StageCandidate } from '../routing/predict.js';
+import { chooseChain, type Chain, type ChainStage } from '../routing/chain.js';
+import {
+  hasRoom, layerCostMs, type RequestSize, type StageCandidate,
+} from '../routing/predict.js';
 import { acceleratorKindOf, type EngineModel } from './config.js';
+import { groupBy } from './group-by.js';
 import type { ServingTarget } from './targets.js';
 
 export interface ChainChoiceQuery {
@@ -81,25 +84,73 @@
   targets.flatMap(({ held }) => (held ? [held.version] : [])),
 )];
 
+/** Returns the latency between two targets, computed once for each pair of zones. */
+function createLinkMs(query: ChainChoiceQuery) {
+  const { fromLayer = 0 } = query;
+  const crossings = new Map<string, number>();
+
+  function crossingMs(from: string, to: string): number {
+    const key = `${from} ${to}`;
+    const known = crossings.get(key);
+    if (known !== undefined) return known;
+    const computed = zoneCrossingMs(query, from, to);
+    crossings.set(key, computed);
+    return computed;
+  }
+
+  return (from: StageCandidate | undefined, to: StageCandidate): number => {
+    if (!from && fromLayer === 0) return to.zone === query.zone ? 0 : otherZonePenaltyMs;
+    const fromZone = from?.zone ?? query.zone;
+    return hopMs + (fromZone === to.zone ? 0 : crossingMs(fromZone, to.zone));
+  };
+}
+
+const cheaper = (a: Chain | undefined, b: Chain) => (a && a.cost <= b.cost ? a : b);
+const cheapest = (chains: readonly Chain[]) => chains
+  .reduce<Chain | undefined>((best, chain) => cheaper(best, chain), undefined);
+
+/**
+ * Whether no chain with a change of zone can be cheaper than `chain`: the change alone and the
+ * fastest layers already cost as much.
+ */
+function isCheapest(
+  { cost }: Chain,
+  { engine, size, fromLayer = 0 }: ChainChoiceQuery,
+  candidates: readonly StageCandidate[],
+): boolean {
+  const fastestLayerMs = candidates
+    .reduce((least, candidate) => Math.min(least, layerCostMs(candidate, size)), Infinity);
+  const layersMs = (engine.layers - fromLayer) * fastestLayerMs;
+  return cost <= crossingPenaltyMs * size.answerTokens + layersMs;
+}
+
+/** Chooses among targets that hold the same version of the weights. */
+function chooseAmong(query: ChainChoiceQuery, targets: readonly ServingTarget[]) {
+  const { engine, size, fromLayer = 0 } = query;
+  const candidates = targets.flatMap((target) => toCandidates(query, target));
+  const linkMs = createLinkMs(query);
+  const choose = (some: readonly StageCandidate[]) => chooseChain({
+    layers: engine.layers - fromLayer,
+    candidates: some,
+    size,
+    linkMs,
+    linkGroupOf: ({ zone }) => zone,
+  });
+  const free = candidates.filter(hasRoom);
+  // Chains within one zone come first, as they are nearly always the cheapest and found faster.
+  const best = cheapest([...groupBy(free, ({ zone }) => zone).values()]
+    .flatMap((ofZone) => choose(ofZone) ?? []));
+  return best && isCheapest(best, query, free) ? best : choose(candidates);
+}
+
 /**
  * Returns the cheapest chain that covers the layers from `fromLayer` on. All its targets hold the
  * same version of the weights. Returns undefined when no version covers these layers.
  */
 export function chooseServingChain(query: ChainChoiceQuery): ChainStage[] | undefined {
-  const {
-    engine, targets, size, fromLayer = 0,
-  } = query;
-  const chains = versionsOf(targets).flatMap((version) => chooseChain({
-    layers: engine.layers - fromLayer,
-    candidates: targets.filter(({ held }) => held?.version === version)
-      .flatMap((target) => toCandidates(query, target)),
-    size,
-    linkMs: (from, to) => {
-      if (!from && fromLayer === 0) return to.zone === query.zone ? 0 : otherZonePenaltyMs;
-      const fromZone = from?.zone ?? query.zone;
-      return hopMs + (fromZone === to.zone ? 0 : zoneCrossingMs(query, fromZone, to.zone));
-    },
-  }) ?? []);
-  return chains.sort((a, b) => a.cost - b.cost)[0]?.stages
+  const { targets, fromLayer = 0 } = query;
+  const chains = versionsOf(targets).flatMap((version) => (
+    chooseAmong(query, targets.filter(({ held }) => held?.version === version)) ?? []));
+  return cheapest(chains)?.stages
     .map(({ node, lo, hi }) => ({ node, lo: lo + fromLayer, hi: hi + fromLayer }));
 }
--- a/packages/gateway/src/http/caller-handler.ts
+++ b/packages/gateway/src/http/caller-handler.ts
@@ -29,6 +29,19 @@
   run(spec: RequestSpec, res: ServerResponse): void;
 }
 
+/**
+ * Resolves after the event loop has read the connections once more. On a busy VM a request may have
+ * waited unread while its caller gave up; only a further read shows that.
+ */
+const afterNextRead = () => new Promise<void>((resolve) => {
+  // The first callback still runs in the current turn of the loop.
+  setImmediate(() => setImmediate(resolve));
+});
+
+/** Whether the caller has closed its connection, or its side of it. */
+const hasLeft = ({ socket }: IncomingMessage, res: ServerResponse) => res.destroyed
+  || socket.destroyed || socket.readableEnded;
+
 export function createCallerHandler(deps: CallerHandlerDeps) {
   const { callers } = deps;
 
@@ -70,7 +83,9 @@
     try {
       caller = callers.read(req);
       const spec = await admit(req, caller, arrivedAt);
-      if (!res.destroyed) deps.run(spec, res);
+      await afterNextRead();
+      if (hasLeft(req, res)) deps.log.info({ req: caller.id }, 'caller left before the request was sent on');
+      else deps.run(spec, res);
     } catch (err) {
       // The unread rest of the body must not be parsed as the next request.
       if (!req.complete) res.shouldKeepAlive = false;
--- a/test/gateway/calls.test.ts
+++ b/test/gateway/calls.test.ts
@@ -1,4 +1,5 @@
 /** Calls to services without engines through a gateway: the answers, and what the targets ran. */
+import { connect } from 'node:net';
 import { afterEach, expect, test } from 'vitest';
 import { operatorConfig } from '@verbenashunt/platform/stand-in';
 import { startGatewayFixture, type GatewayFixture, type GatewayFixtureOptions } from '../support/gateway-fixture.js';
@@ -158,6 +159,27 @@
   await expect.poll(() => setup.apps[0]!.ran[0]?.isAborted, { timeout: 400 }).toBe(true);
 });
 
+test('a request whose caller had already left when it was read is not sent on', async () => {
+  const setup = await start({ apps: 1 });
+  // Leaves a connection to the target open, on which a further call would be sent at once.
+  await setup.call();
+  const before = setup.apps[0]!.arrivals;
+  const head = [
+    'GET /read/a HTTP/1.1', 'host: app.example', 'request-id: left', 'request-deadline-ms: 1000',
+    'authorization: Bearer key-1', '', '',
+  ].join('\r\n');
+  const socket = connect(setup.gateway.ports.front, '127.0.0.1');
+  await new Promise((resolve) => {
+    socket.once('connect', resolve);
+  });
+  socket.write(head);
+  socket.end();
+  await new Promise((resolve) => {
+    setTimeout(resolve, 200);
+  });
+  expect(setup.apps[0]!.arrivals).toBe(before);
+});
+
 test('a body over the limit is refused', async () => {
   const { call } = await start();
   expect((await call({ ...write, body: 'x'.repeat(5000) })).status).toBe(413);
--- a/test/serving/chain-choice.test.ts
+++ b/test/serving/chain-choice.test.ts
@@ -1,7 +1,8 @@
 /** Choice of a chain by availability zone, free KV cache and slowness of the targets. */
+import fc from 'fast-check';
 import { expect, test } from 'vitest';
 import {
-  chooseServingChain, type ChainChoiceQuery, type EngineModel, type ServingTarget,
+  chooseChain, chooseServingChain, type ChainChoiceQuery, type EngineModel, type ServingTarget,
 } from '@verbenashunt/core';
 
 const engine: EngineModel = {
@@ -98,3 +99,36 @@
 test('returns no chain when no target holds some layer', () => {
   expect(choose([target('a1', 0, 4), target('a2', 5, 8)])).toBeUndefined();
 });
+
+test('crosses zones when the slowness of the own zone costs more than the change', () => {
+  const zoneA = [target('a1', 0, 4), target('a2', 4, 8)];
+  const zoneB = [target('b1', 0, 4)];
+  const slowdownOf = (id: string) => (id === 'a1' ? 1000 : 1);
+  expect(choose([...zoneA, ...zoneB], { slowdownOf })).toEqual(['b1 0-4', 'a2 4-8']);
+});
+
+const candidateArbitrary = fc.record({
+  zone: fc.constantFrom('a', 'b', 'c'),
+  lo: fc.integer({ min: 0, max: 7 }),
+  length: fc.integer({ min: 1, max: 5 }),
+  layerMs: fc.integer({ min: 1, max: 50 }),
+  active: fc.integer({ min: 0, max: 12 }),
+});
+
+test('following only the cheapest paths to each zone finds a chain as cheap', () => {
+  fc.assert(fc.property(fc.array(candidateArbitrary, { minLength: 4, maxLength: 24 }), (items) => {
+    const candidates = items.map(({ length, ...item }, i) => ({
+      ...item, node: `n${i}`, region: '', hi: Math.min(8, item.lo + length), limit: 10,
+    }));
+    const query = {
+      layers: 8,
+      candidates,
+      linkMs: (from: { zone: string } | undefined, to: { zone: string }) => (
+        !from || from.zone === to.zone ? 0.02 : 3),
+      size: { promptTokens: 100, answerTokens: 20 },
+    };
+    const all = chooseChain(query);
+    const pruned = chooseChain({ ...query, linkGroupOf: ({ zone }) => zone });
+    expect(pruned?.cost).toBe(all?.cost);
+  }), { numRuns: 2000 });
+});
