Give no orders for lack of the store while only this entry is turned away

The larger the fleet, the more entries a partial outage strikes.

Change: while a relay passes on the state of the store, the store is not away, so the holder is not unknown. Test: 'an entry that alone is turned away by the store gives no orders'.

--- a/packages/gateway/src/relay/relayed-store.ts
+++ b/packages/gateway/src/relay/relayed-store.ts
@@ -28,6 +28,8 @@
 }
 
 export interface RelayedStore extends RowStore {
+  /** Whether a relay has lately passed on the state of the store. */
+  isUpThroughRelay(): boolean;
   /** Log of a table that this entry has followed; undefined for another one. */
   logOf(table: string): TableLog | undefined;
 }
@@ -47,6 +49,8 @@
  * failure, so that an outage of the store does not bring calls of all entries.
  */
 const storeRetryMs = 1500;
+/** Time in milliseconds after an answer of a relay for which the store counts as up. */
+const relayedAgeMs = 2500;
 /** Fewest entries of a zone for which a relay is used; with fewer, it saves next to nothing. */
 const minEntries = 3;
 const statusOk = 200;
@@ -66,6 +70,8 @@
   const avoidedUntil = new Map<string, number>();
   /** Newest era that the store stated; relays answer only for the same one. */
   let era = 0;
+  /** When a relay last passed on the state of the store. */
+  let relayedAt = -Infinity;
   /** When the store may be called again after a failure, by an entry that has a relay. */
   let storeRetryAt = -Infinity;
 
@@ -121,7 +127,8 @@
   ): Promise<TableState | undefined> {
     try {
       const state = await changesFromRelay(relay.address, table, after, waitMs);
-      if (!state) avoidedUntil.set(relay.node, clock.now() + avoidBehindMs);
+      if (state) relayedAt = clock.now();
+      else avoidedUntil.set(relay.node, clock.now() + avoidBehindMs);
       return state;
     } catch (err) {
       avoidedUntil.set(relay.node, clock.now() + avoidMs);
@@ -153,6 +160,7 @@
     },
     write: store.write,
     close: store.close,
+    isUpThroughRelay: () => clock.now() - relayedAt <= relayedAgeMs,
     logOf: (table) => logs.get(table),
   };
 }
--- a/packages/gateway/src/store/lease-keeper.ts
+++ b/packages/gateway/src/store/lease-keeper.ts
@@ -42,6 +42,8 @@
   node: string;
   /** How other entries follow the store through this one; undefined if they don't. */
   relay?: RelayAddress;
+  /** Whether another entry has lately passed on the state of the store, so that it is not away. */
+  isStoreUp?(): boolean;
 }
 
 /** Permission to send orders to engines. */
@@ -49,9 +51,10 @@
   /** Fencing token for the orders. */
   token: number;
   /**
-   * The store has been unreachable for longer than the lease's time to live, so its holder is
-   * unknown. Any entry may then load layers, with the newest token it knows; this is safe, since a
-   * target refuses an order with a lower token or one that doesn't know of an earlier order.
+   * The store has been unreachable for longer than the lease's time to live, here and at the relay,
+   * so its holder is unknown. Any entry may then load layers, with the newest token it knows; this
+   * is safe, since a target refuses an order with a lower token or one that doesn't know of an
+   * earlier order.
    */
   isHolderUnknown: boolean;
 }
@@ -261,7 +264,9 @@
 
   return {
     orderPermit() {
-      const isHolderUnknown = isFailing && clock.now() - answeredAt > leaseTtlMs;
+      const isAway = isFailing && clock.now() - answeredAt > leaseTtlMs;
+      // If only this entry is turned away, the holder goes on renewing the lease.
+      const isHolderUnknown = isAway && !deps.isStoreUp?.();
       const token = isHolderUnknown ? newestToken : held?.token ?? 0;
       return token > highestFenced ? { token, isHolderUnknown } : undefined;
     },
--- a/packages/gateway/src/store/store-access.ts
+++ b/packages/gateway/src/store/store-access.ts
@@ -56,6 +56,7 @@
     ...deps,
     node,
     relay: relay && { address: `${relay.host}:${server!.port}`, zone, cores },
+    isStoreUp: () => relayedStore?.isUpThroughRelay() ?? false,
   });
   relayedStore = createRelayedStore({
     ...deps,
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -133,9 +133,9 @@
   expect(outagesMs[0]).toBeGreaterThan(1500);
 });
 
-function startKeeper(node: string) {
+function startKeeper(node: string, isStoreUp?: () => boolean) {
   const keeper = createLeaseKeeper({
-    clock, random, log, store: createClient(), node,
+    clock, random, log, store: createClient(), node, isStoreUp,
   });
   cleanups.push(keeper.close);
   return keeper;
@@ -287,3 +287,15 @@
   await eventually(() => expect([a.orderPermit(), b.orderPermit()])
     .toEqual([{ token: 1, isHolderUnknown: true }, { token: 1, isHolderUnknown: true }]));
 });
+
+test('an entry that alone is turned away by the store gives no orders', async () => {
+  const a = startKeeper('a', () => true);
+  await eventually(() => expect(a.orderPermit()?.token).toBe(1));
+  const b = startKeeper('b', () => true);
+  const c = startKeeper('c', () => false);
+  await eventually(() => expect([b.entryCount(), c.entryCount()]).toEqual([3, 3]));
+  store.fault = 'busy';
+  await eventually(() => expect(c.orderPermit()).toEqual({ token: 1, isHolderUnknown: true }));
+  expect(b.orderPermit()).toBeUndefined();
+  expect(a.orderPermit()).toEqual({ token: 1, isHolderUnknown: false });
+});
