--- a/packages/gateway/src/relay/choose-relay.ts
+++ b/packages/gateway/src/relay/choose-relay.ts
@@ -19,12 +19,12 @@
   node: string;
 }
 
-const byPreference = (a: Relay, b: Relay) => b.cores - a.cores
+const byPreference = (a: Relay, b: Relay) => b.capacity - a.capacity
   || rendezvousScore(b.zone, b.node) - rendezvousScore(a.zone, a.node);
 
 /**
  * Returns the relay to use; undefined if this entry calls the store itself. All entries of a zone
- * rank the candidates alike, those with the most processor capacity first. An entry that finds
+ * rank the candidates alike, those with the most capacity first. An entry that finds
  * itself before all usable others is the relay.
  */
 export function chooseRelay(
--- a/packages/gateway/src/store/entry-rows.ts
+++ b/packages/gateway/src/store/entry-rows.ts
@@ -7,8 +7,8 @@
   /** IP:PORT. */
   address: string;
   zone: string;
-  /** Processor capacity of the VM in cores. */
-  cores: number;
+  /** Capacity of the VM for the requests of other entries, in cores. */
+  capacity: number;
 }
 
 /** Content of an entry's row. */
@@ -31,9 +31,9 @@
 export const expectedBackAt = (now: number, graceMs: number) => now + graceMs + restartTimeMs;
 
 function parseRelay(value: unknown): RelayAddress | undefined {
-  const { address, zone, cores } = (value ?? {}) as Partial<RelayAddress>;
-  return typeof address === 'string' && typeof zone === 'string' && Number.isFinite(cores)
-    ? { address, zone, cores: cores! }
+  const { address, zone, capacity } = (value ?? {}) as Partial<RelayAddress>;
+  return typeof address === 'string' && typeof zone === 'string' && Number.isFinite(capacity)
+    ? { address, zone, capacity: capacity! }
     : undefined;
 }
 
--- a/packages/gateway/src/store/store-access.ts
+++ b/packages/gateway/src/store/store-access.ts
@@ -16,8 +16,8 @@
   zone: string;
   /** Address on which other entries follow the store through this one; undefined for none. */
   relay: Address | undefined;
-  /** Processor capacity of the VM in cores. */
-  cores: number;
+  /** Capacity of the VM for the requests of other entries, in cores. */
+  capacity: number;
 }
 
 export interface StoreAccessDeps {
@@ -45,7 +45,7 @@
 
 export async function createStoreAccess(
   {
-    node, zone, relay, cores,
+    node, zone, relay, capacity,
   }: StoreAccessOptions,
   deps: StoreAccessDeps,
 ): Promise<StoreAccess> {
@@ -55,7 +55,7 @@
   const lease = createLeaseKeeper({
     ...deps,
     node,
-    relay: relay && { address: `${relay.host}:${server!.port}`, zone, cores },
+    relay: relay && { address: `${relay.host}:${server!.port}`, zone, capacity },
     isStoreUp: () => relayedStore?.isUpThroughRelay() ?? false,
   });
   relayedStore = createRelayedStore({
--- a/test/gateway/relay.test.ts
+++ b/test/gateway/relay.test.ts
@@ -81,8 +81,8 @@
   expect(await again).toBeUndefined();
 });
 
-const entry = (node: string, cores: number, more: Partial<EntryRecord> = {}): EntryRecord => ({
-  node, backAt: undefined, relay: { address: `${node}:1`, zone: 'zone-a', cores }, ...more,
+const entry = (node: string, capacity: number, more: Partial<EntryRecord> = {}): EntryRecord => ({
+  node, backAt: undefined, relay: { address: `${node}:1`, zone: 'zone-a', capacity }, ...more,
 });
 const choiceOf = (node: string, avoided: string[] = []) => ({
   node, zone: 'zone-a', minEntries: 3, isAvoided: (other: string) => avoided.includes(other),
@@ -100,7 +100,7 @@
 test('a relay that failed, stops or lies in another zone is not chosen', () => {
   const entries = [
     entry('a', 1), entry('b', 2), entry('c', 3, { backAt: 9 }), entry('d', 1.5),
-    entry('e', 4, { relay: { address: 'e:1', zone: 'zone-b', cores: 4 } }), entry('f', 5, { relay: undefined }),
+    entry('e', 4, { relay: { address: 'e:1', zone: 'zone-b', capacity: 4 } }), entry('f', 5, { relay: undefined }),
   ];
   expect(chooseRelay(entries, choiceOf('a'))?.node).toBe('b');
   expect(chooseRelay(entries, choiceOf('a', ['b']))?.node).toBe('d');
@@ -165,7 +165,7 @@
     });
     const relay = await serveRelay({ host: '127.0.0.1', port: 0 }, relayed.logOf);
     entries.push({
-      node, backAt: undefined, relay: { address: `127.0.0.1:${relay.port}`, zone: 'zone-a', cores: count - i },
+      node, backAt: undefined, relay: { address: `127.0.0.1:${relay.port}`, zone: 'zone-a', capacity: count - i },
     });
     const member: Member = {
       node, client, seen: [], relay,
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -35,7 +35,7 @@
       readiness: { host: '10.0.0.1', port: 8220, path: '/api/readiness' },
       metrics: { host: '10.0.0.1', port: 7340 },
       relay: { host: '10.0.0.1', port: 7341 },
-      cores: 1,
+      capacity: 1,
       changeBoundMs: 2000,
       graceMs: 8000,
       retries: { ratio: 0.2, extra: 198, windowMs: 10_000 },
@@ -59,3 +59,11 @@
   await expect(loadSettings({})).rejects.toThrow(/VERBENASHUNT_BOOT is missing/);
   await expect(loadSettings({ VERBENASHUNT_BOOT: '/none' })).rejects.toThrow(/VERBENASHUNT_BOOT is "\/none"/);
 });
+
+test.each([
+  ['cpuShare = 0.5\ncores = 2\nlinkMbps = 1000.0', 1],
+  ['cpuShare = 1.35\ncores = 1\nlinkMbps = 14.0', 0.14],
+])('a VM has the capacity of its cores, or of its link: %s', (limits, capacity) => {
+  const text = `${settingsText}\n[limits]\n${limits}\n`;
+  expect(decodeSettings(text).gateway.capacity).toBeCloseTo(capacity);
+});
--- a/test/support/gateway-fixture.ts
+++ b/test/support/gateway-fixture.ts
@@ -93,7 +93,7 @@
     readiness: { host, port: 0, path: '/api/readiness' },
     metrics: undefined,
     relay: undefined,
-    cores: 1,
+    capacity: 1,
     changeBoundMs: 2000,
     graceMs: 3000,
     retries: { ratio: 0.2, extra: 200, windowMs: 10_000 },
