--- a/packages/gateway/src/relay/choose-relay.ts
+++ b/packages/gateway/src/relay/choose-relay.ts
@@ -8,7 +8,7 @@
 export interface RelayChoice {
   node: string;
   zone: string;
-  /** Fewest entries with a relay of a zone for which it pays to follow the store through one. */
+  /** Fewest entries of a zone for which one of them serves as relay. */
   minEntries: number;
   /** Whether an entry has recently failed as a relay. */
   isAvoided(node: string): boolean;
@@ -24,8 +24,8 @@
 
 /**
  * Returns the relay to use; undefined if this entry calls the store itself. All entries of a zone
- * rank the candidates alike, those with the most capacity first. An entry that finds
- * itself before all usable others is the relay.
+ * rank the candidates alike, those with the most capacity first. An entry that ranks before all
+ * usable others is the relay.
  */
 export function chooseRelay(
   entries: readonly EntryRecord[],
--- a/packages/gateway/src/relay/relayed-store.ts
+++ b/packages/gateway/src/relay/relayed-store.ts
@@ -36,7 +36,7 @@
 
 /** Longest wait of a call to a relay in milliseconds; a lost relay is noticed after it. */
 const relayWaitMs = 1500;
-/** Time in milliseconds on top of it within which a relay answers. */
+/** Time in milliseconds within which a relay answers, beyond the wait that a call asks for. */
 const relaySlackMs = 300;
 /** Time in milliseconds within which the store answers, beyond the wait that a call asks for. */
 const storeSlackMs = 800;
--- a/packages/gateway/src/store/lease-keeper.ts
+++ b/packages/gateway/src/store/lease-keeper.ts
@@ -127,7 +127,7 @@
     held = undefined;
   }
 
-  function recordToken(token: number) {
+  function recordAnswer(token: number) {
     answeredAt = clock.now();
     isFailing = false;
     newestToken = Math.max(newestToken, token);
@@ -175,7 +175,7 @@
     if (era !== eraBefore) return 0;
     if (held?.token !== record.token) log.info({ token: record.token }, 'lease taken');
     held = record;
-    recordToken(record.token);
+    recordAnswer(record.token);
     version = written.version;
     return leaseRenewMs;
   }
@@ -203,7 +203,7 @@
     }));
     version = row?.version ?? 0;
     const current = decodeLease(row);
-    recordToken(current?.token ?? 0);
+    recordAnswer(current?.token ?? 0);
     if (held && current?.token !== held.token) dropLease('another entry holds it');
     const next = nextLease(current, {
       holder: node, now: state.now, ownToken: held?.token, era: state.era,
