Log which requests a crash met and what their prompts share

Now 'target crashed with requests' names those without a begun answer with the parts of their prompts, 'crashes read from the table' says whose row and which version, and a counter tells crashes seen and read of. No decision is changed.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -119,6 +119,7 @@
     config,
     protocol: ports.targets,
     decodeTarget: (row) => tryDecode(row, rows.decodeTarget),
+    crashSeen: metrics.crashSeen,
   });
   const { targets, selector, loadMonitor } = tracking;
 
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -47,6 +47,9 @@
   const invalidHeaders = new Counter({
     name: 'verbenashunt_gateway_invalid_headers_total', help: 'Headers of the store and of targets that were ignored, by name.', labelNames: ['header'], registers,
   });
+  const crashes = new Counter({
+    name: 'verbenashunt_gateway_target_crashes_total', help: 'Crashes of targets with requests, by whether this entry saw them or read of them in the row of another entry.', labelNames: ['seen_by'], registers,
+  });
   const organisations = new Set<string>();
 
   function labelOf(organisation: string | undefined): string {
@@ -61,6 +64,8 @@
     targets,
     /** Counts a header that was ignored because its value is invalid. */
     invalidHeader: (header: string) => invalidHeaders.inc({ header }),
+    /** Counts a crash of a target that this entry saw itself, or read of in another's row. */
+    crashSeen: (by: 'self' | 'other') => crashes.inc({ seen_by: by }),
     /** Counts a request that was refused before it had a route kind. */
     refused: (outcome: string) => requests.inc({ kind: 'none', outcome }),
     ofRequest({ kind, organisation }: {
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -84,6 +84,11 @@
   /** Time in milliseconds that the caller waits for the answer. */
   deadlineMs: number | undefined;
   promptTokens: number;
+  /**
+   * Ids of the prompt's parts in order. Requests share parts; the last one belongs to this request
+   * or its session alone. Empty if the caller states none.
+   */
+  promptParts: readonly string[];
   /** Maximum number of tokens of the answer. */
   maxAnswerTokens: number | undefined;
   /** Id of the last event that the caller has received of this stream. */
--- a/packages/gateway/src/requests/crash-watch.ts
+++ b/packages/gateway/src/requests/crash-watch.ts
@@ -14,14 +14,28 @@
 export interface CrashWatchDeps extends ReportDeps {
   log: Logger;
   crashTable: CrashTable;
+  /** Counts a crash that this entry has seen. */
+  crashSeen(by: 'self'): void;
 }
 
 /** What a target sees of a request, apart from the id of the attempt. */
 export type RequestContent = Pick<RequestSpec, 'caller' | 'body' | 'organisation'>;
 
+/** A request that a target dropped. */
+interface LostRequest {
+  id: string;
+  fingerprint: string;
+  promptParts: readonly string[];
+  /** Whether the target had sent a part of the answer. */
+  hasBegun: boolean;
+}
+
 export interface CrashWatch {
-  /** Records that a target may have crashed while it ran a request; checks whether it did. */
-  lost(req: RequestContent, target: ServingTarget): void;
+  /**
+   * Records that a target may have crashed while it ran a request; checks whether it did.
+   * `hasBegun` says whether the target had sent a part of the answer.
+   */
+  lost(req: RequestContent, target: ServingTarget, hasBegun: boolean): void;
   /** Records that a target answered a request completely. */
   answered(req: RequestContent): void;
   /** Whether a request must not run because it crashes targets. */
@@ -30,6 +44,8 @@
 
 /** Time in milliseconds for a target to answer a report request before it counts as crashed. */
 const reportTimeoutMs = 500;
+/** Requests without a begun answer that the log names per crash; the others are counted. */
+const maxLoggedRequests = 8;
 /** Length of a fingerprint in base64url characters: 72 bits. */
 const fingerprintLength = 12;
 
@@ -44,20 +60,32 @@
 
 export function createCrashWatch(deps: CrashWatchDeps): CrashWatch {
   const { log, crashTable } = deps;
-  /** Fingerprints of the requests whose target is being asked for its report, by target. */
-  const pendingByTarget = new Map<string, Set<string>>();
+  /** Requests whose target is being asked for its report, by target. */
+  const pendingByTarget = new Map<string, LostRequest[]>();
+
+  function logCrash(target: ServingTarget, lost: readonly LostRequest[], err: unknown) {
+    const unbegun = lost.filter(({ hasBegun }) => !hasBegun);
+    log.warn({
+      target: target.id,
+      requests: lost.length,
+      begun: lost.length - unbegun.length,
+      unbegun: unbegun.slice(0, maxLoggedRequests)
+        .map(({ id, promptParts }) => ({ req: id, parts: promptParts })),
+      ...errorFields(err),
+    }, 'target crashed with requests');
+  }
 
-  async function checkCrashed(target: ServingTarget, fingerprints: ReadonlySet<string>) {
+  async function checkCrashed(target: ServingTarget, lost: readonly LostRequest[]) {
     try {
       await requestReport(deps, target, reportTimeoutMs);
     } catch (err) {
       // Any answer, even an invalid report, shows that the target is alive.
       if (!(err instanceof TargetError)) return;
-      log.warn({
-        target: target.id, requests: fingerprints.size, ...errorFields(err),
-      }, 'target crashed with requests');
+      logCrash(target, lost, err);
+      deps.crashSeen('self');
       crashTable.recordCrash({
-        target: incarnationOf(target), fingerprints: [...fingerprints],
+        target: incarnationOf(target),
+        fingerprints: [...new Set(lost.map(({ fingerprint }) => fingerprint))],
       });
     } finally {
       pendingByTarget.delete(target.id);
@@ -65,13 +93,19 @@
   }
 
   return {
-    lost(req, target) {
+    lost(req, target, hasBegun) {
+      const { id, promptParts } = req.caller;
+      const request = {
+        id, promptParts, hasBegun, fingerprint: fingerprintOf(req),
+      };
       const pending = pendingByTarget.get(target.id);
-      const fingerprints = pending ?? new Set<string>();
-      fingerprints.add(fingerprintOf(req));
-      if (pending) return;
-      pendingByTarget.set(target.id, fingerprints);
-      checkCrashed(target, fingerprints);
+      if (pending) {
+        pending.push(request);
+        return;
+      }
+      const lost = [request];
+      pendingByTarget.set(target.id, lost);
+      checkCrashed(target, lost);
     },
     answered(req) {
       if (crashTable.isEmpty) return;
--- a/packages/gateway/src/requests/reroute.ts
+++ b/packages/gateway/src/requests/reroute.ts
@@ -16,6 +16,8 @@
   choice(): Choice | undefined;
   /** Whether a new attempt could continue it on a chain within one zone, without these targets. */
   canResume(without: ReadonlySet<string>): boolean;
+  /** Whether an event has arrived in this attempt. */
+  hasBegun(): boolean;
   /** Ends the attempt, so that the stream is resumed elsewhere; `blamed` is an address. */
   abandon(reason: string, blamed: string): void;
   /** Called when it continues over another chain with the same first target. */
@@ -102,7 +104,7 @@
       if (target) {
         selector.recordFailure(target.id);
         // Recorded once per stage, as the same stall is reported repeatedly.
-        if (!avoid.has(target.id)) deps.crashWatch.lost(spec, target);
+        if (!avoid.has(target.id)) deps.crashWatch.lost(spec, target, stream.hasBegun());
       }
       start({ culprit: target?.id, address, reason: 'a stage is dead' });
     },
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -115,7 +115,9 @@
     attempt = undefined;
     const { end: attemptEnd, reason, blamed } = failure;
     deps.attemptFailed(attemptEnd);
-    if (failure.isConnectionLost) deps.crashWatch.lost(spec, choice!.target);
+    if (failure.isConnectionLost) {
+      deps.crashWatch.lost(spec, choice!.target, progress?.hasStarted ?? false);
+    }
     log.info({
       req: spec.caller.id,
       target: choice!.target.id,
@@ -198,6 +200,7 @@
     avoid,
     choice: () => (attempt && !isOver ? choice : undefined),
     canResume,
+    hasBegun: () => progress?.hasStarted ?? false,
     abandon,
     rerouted(next) {
       choice = next;
--- a/packages/gateway/src/store/crash-table.ts
+++ b/packages/gateway/src/store/crash-table.ts
@@ -71,7 +71,12 @@
     const found = decode(row);
     if (isOwn) ownRecord = found;
     history.put(row.key, found);
-    found?.crashes.filter(({ target }) => !seenIncarnations.has(target)).forEach(({ target }) => {
+    const unseen = (found?.crashes ?? []).filter(({ target }) => !seenIncarnations.has(target));
+    if (unseen.length === 0) return;
+    log.info({
+      entry: row.key, version: row.version, targets: unseen.map(({ target }) => target),
+    }, 'crashes read from the table');
+    unseen.forEach(({ target }) => {
       seenIncarnations.add(target);
       deps.onCrash(target);
     });
--- a/packages/gateway/src/targets/target-tracking.ts
+++ b/packages/gateway/src/targets/target-tracking.ts
@@ -36,6 +36,8 @@
   protocol: TargetProtocol;
   /** Returns undefined for a row that names no usable target. */
   decodeTarget(row: StoredRow): ServingTarget | undefined;
+  /** Counts a crash of a target that this entry saw, or read of in the row of another one. */
+  crashSeen(by: 'self' | 'other'): void;
 }
 
 export interface TargetTracking {
@@ -145,6 +147,7 @@
     store,
     node,
     onCrash(incarnation) {
+      deps.crashSeen('other');
       const target = targets.all.find((other) => incarnationOf(other) === incarnation);
       if (target) markDeadIfUnreachable(target);
     },
@@ -171,7 +174,7 @@
     targetList,
     chainWatch,
     crashWatch: createCrashWatch({
-      log, exchanger, protocol, crashTable,
+      log, exchanger, protocol, crashTable, crashSeen: deps.crashSeen,
     }),
     stallWatch,
     close() {
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -1,10 +1,11 @@
 /** Decodes valid and invalid rows of operator and targets, response headers, orders and reports. */
+import type { IncomingMessage } from 'node:http';
 import { expect, test } from 'vitest';
 import { ProtocolError, type ServingTarget } from '@verbenashunt/core';
 import { createPlatformPorts } from '@verbenashunt/platform';
 import { operatorConfig } from '@verbenashunt/platform/stand-in';
 
-const { rows, targets } = createPlatformPorts('127.0.0.1:1');
+const { rows, targets, callers } = createPlatformPorts('127.0.0.1:1');
 const row = (key: string, value: unknown) => ({
   key, version: 1, value: value === undefined ? undefined : Buffer.from(typeof value === 'string' ? value : JSON.stringify(value)),
 });
@@ -136,3 +137,14 @@
   expect(() => targets.decodeReport(200, Buffer.from('{}'))).toThrow(ProtocolError);
   expect(() => targets.decodeReport(503, Buffer.from(text))).toThrow(ProtocolError);
 });
+
+test.each([
+  ['5c1e07a2:800, 91bd3f06:410,e4402b7d:250', ['5c1e07a2', '91bd3f06', 'e4402b7d']],
+  ['5c1e07a2', ['5c1e07a2']],
+  [',:3,', []],
+  [undefined, []],
+])('decodes the parts of a prompt: %s', (text, parts) => {
+  const headers = { 'request-id': 'id-1', 'prompt-prefix': text };
+  const req = { headers, rawHeaders: [] as string[] } as unknown as IncomingMessage;
+  expect(callers.read(req).promptParts).toEqual(parts);
+});
