--- /dev/null
+++ b/test/gateway/crashing-parts.test.ts
@@ -0,0 +1,118 @@
+/** Parts of prompts that crash the targets that answer on them, with several gateways. */
+import {
+  afterEach, expect, test, vi,
+} from 'vitest';
+import type { Gateway } from '@verbenashunt/gateway';
+import { startTarget, type TargetStandIn } from '@verbenashunt/platform/stand-in';
+import {
+  callGateway, startGateway, startGatewayFixture, streamHeaders, type GatewayFixture,
+} from '../support/gateway-fixture.js';
+
+/** Time in milliseconds, a bound of the settings, within which all entries know of a crash. */
+const contactMs = 3000;
+/** Crashes after which, once `contactMs` have passed, the bound on further requests holds. */
+const boundedCrashes = 5;
+/** Most requests with a crashing part that may reach targets after that. */
+const maxFurtherArrivals = 3;
+/** Time in milliseconds after which a crashed target is back as a new one. */
+const restartMs = 600;
+const crashingPart = 'bad0';
+const layers = { from: 0, to: 8, version: 1 };
+
+let fixture: GatewayFixture;
+let isOver = false;
+const gateways: Gateway[] = [];
+const targets: TargetStandIn[] = [];
+
+const wait = (ms: number) => new Promise((resolve) => {
+  setTimeout(resolve, ms);
+});
+
+afterEach(async () => {
+  isOver = true;
+  await Promise.all(gateways.splice(0).map((gateway) => gateway.stop(AbortSignal.abort())));
+  await fixture.close();
+  await Promise.all(targets.splice(0).map((target) => target.close()));
+});
+
+/** Starts a target that crashes at the part; each time it does, a new one takes its place. */
+async function startCrashingTarget(name: string, onCrash: () => void, start = 0) {
+  const target = await startTarget({ id: `${name}.${start}`, kind: 'card', eventMs: 10 });
+  const { close } = target;
+  targets.push(target);
+  Object.assign(target, {
+    crashingPart,
+    held: layers,
+    async close() {
+      Object.assign(target, { close });
+      onCrash();
+      close();
+      await wait(restartMs);
+      if (isOver) return;
+      fixture.store.remove('servers', target.id);
+      await startCrashingTarget(name, onCrash, start + 1);
+    },
+  });
+  fixture.store.put('servers', target.id, target.row('pool'));
+}
+
+/** Calls `send` at an interval until `ms` have passed; resolves to all results. */
+async function sendEvery<T>(intervalMs: number, ms: number, send: (i: number) => Promise<T>) {
+  const results: Promise<T>[] = [];
+  const until = performance.now() + ms;
+  for (let i = 0; performance.now() < until; i += 1) {
+    results.push(send(i));
+    // eslint-disable-next-line no-await-in-loop -- paces the requests
+    await wait(intervalMs);
+  }
+  return Promise.all(results);
+}
+
+const arrivalsWithPart = () => targets.flatMap(({ ran }) => ran)
+  .filter(({ headers }) => String(headers['prompt-prefix']).includes(crashingPart)).length;
+
+test('requests that share a crashing part of their prompts stop reaching targets', async () => {
+  isOver = false;
+  fixture = await startGatewayFixture();
+  gateways.push(...await Promise.all(['entry-2', 'entry-3']
+    .map((node) => startGateway(fixture.store, node))));
+  const ports = [fixture.gateway, ...gateways].map((gateway) => gateway.ports.front);
+  let crashes = 0;
+  const recordCrash = () => {
+    crashes += 1;
+  };
+  await Promise.all(Array.from(
+    { length: 8 },
+    (_, i) => startCrashingTarget(`engine-${i}`, recordCrash),
+  ));
+  const stream = (kind: string, i: number, part: string) => callGateway(ports[i % ports.length]!, {
+    method: 'POST',
+    path: `/chat/${kind}/${i}`,
+    body: `${kind} ${i}`,
+    headers: {
+      ...streamHeaders,
+      'prompt-prefix': `5a00:40,${part}:100,${kind}${i}:200`,
+      'request-deadline-ms': '4000',
+    },
+  });
+  await wait(1000);
+  const sentMs = 3 * contactMs;
+  async function countArrivalsAfterBound() {
+    await vi.waitFor(() => {
+      expect(crashes).toBeGreaterThanOrEqual(boundedCrashes);
+    }, { timeout: contactMs, interval: 10 });
+    await wait(contactMs);
+    const before = arrivalsWithPart();
+    await wait(contactMs);
+    return arrivalsWithPart() - before;
+  }
+  const [, sound, further] = await Promise.all([
+    sendEvery(150, sentMs, (i) => stream('bad', i, crashingPart)),
+    sendEvery(100, sentMs, (i) => stream('sound', i, `50${i % 4}`)),
+    countArrivalsAfterBound(),
+  ]);
+  expect(further).toBeLessThanOrEqual(maxFurtherArrivals);
+  const last = sound.slice(-Math.floor(sound.length / 3));
+  const served = last.filter(({ status, isComplete }) => status === 200 && isComplete);
+  expect(served).toHaveLength(last.length);
+});
