Refuse requests by the part of their prompts that crashes targets

Cause: a crash was remembered under the hash of organisation, path and whole body. A second gap: repeats after a crash were not checked.

Change: each crash is also evidence against the shared parts of the requests that were sent and not begun; a begun answer clears the parts of its prompt; three crashes one after another that nothing else explains make a part the cause, at every entry, from the same table. An unbegun stream is sent again only once its crash is recorded, and no attempt is made for a poison request. Entries serve once they have read the table, which is followed as often as the others (1.5 s instead of 5 s until a silent connection is noticed).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -21,6 +21,8 @@
 export * from './ledger/call-ledger.js';
 export * from './retry/budget.js';
 export * from './poison/crash-history.js';
+export * from './poison/crashing-parts.js';
+export * from './poison/part-quarantine.js';
 export * from './poison/suspect-tracker.js';
 export * from './membership/subset.js';
 export * from './membership/agent-directory.js';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -71,6 +71,11 @@
  * balancer, which checks once a second.
  */
 const stopNoticeMs = 2200;
+/**
+ * Longest time in milliseconds for which an entry with a configuration waits, before it serves, for
+ * the other entries' records of requests that crash targets.
+ */
+const maxCrashReadMs = 1000;
 /** Timeout in milliseconds for the release of the lease; the end of the grace time must hold it. */
 const releaseTimeoutMs = 200;
 
@@ -87,10 +92,13 @@
   const progress = createTargetProgress();
   let options = cfg;
   let stoppingAt: number | undefined;
+  /** When the first configuration arrived; Infinity before. */
+  let configuredAt = Infinity;
   /** Undefined until the gateway listens. */
   let server: CallerServer | undefined;
 
   const config = createServingConfigHolder(({ config: { version, limits } }) => {
+    configuredAt = Math.min(configuredAt, clock.now());
     metrics.config.set(version);
     log.info({ version }, 'configuration in force');
     server?.apply(limits);
@@ -183,6 +191,9 @@
   const isStopTooNear = (spec: Omit<RequestSpec, 'body'>) => stoppingAt !== undefined
     && isTooLate(spec, { startedAt: stoppingAt, graceMs: options.graceMs });
 
+  const mayServe = () => config.view !== undefined
+    && (tracking.crashTable.isRead || clock.now() - configuredAt > maxCrashReadMs);
+
   const handle = createCallerHandler({
     clock,
     random,
@@ -190,14 +201,14 @@
     metrics,
     callers,
     readBody,
-    view: () => config.view,
+    view: () => (mayServe() ? config.view : undefined),
     isStopping: () => stoppingAt !== undefined,
     refusalWhileStopping: (spec) => (isStopTooNear(spec) ? stoppingRefusal() : undefined),
-    isPoison: tracking.crashWatch.isPoison,
+    findPoison: tracking.crashWatch.findPoison,
     run,
   });
 
-  const isReady = () => config.view !== undefined && stoppingAt === undefined;
+  const isReady = () => mayServe() && stoppingAt === undefined;
   server = await serveCallers(cfg.front, handle);
   if (config.view) server.apply(config.view.config.limits);
   const probes = [await serveProbe(cfg.readiness, {
@@ -210,6 +221,7 @@
       async answer() {
         config.view?.config.services.forEach(({ name }) => metrics.targets
           .set({ service: name }, targets.ofService(name).length));
+        metrics.crashingParts.set(tracking.crashTable.crashingParts);
         return {
           status: 200, type: metrics.registry.contentType, body: await metrics.registry.metrics(),
         };
--- a/packages/gateway/src/http/caller-handler.ts
+++ b/packages/gateway/src/http/caller-handler.ts
@@ -24,8 +24,8 @@
   isStopping(): boolean;
   /** Returns a refusal if the entry is stopping and the request could no longer complete. */
   refusalWhileStopping(spec: Omit<RequestSpec, 'body'>): Refusal | undefined;
-  /** Whether the request crashes the targets that run it. */
-  isPoison(spec: RequestSpec): boolean;
+  /** Why the request must not run, as it crashes targets; undefined if it may run. */
+  findPoison(spec: RequestSpec): string | undefined;
   run(spec: RequestSpec, res: ServerResponse): void;
 }
 
@@ -60,7 +60,8 @@
     if (refusal) throw refusal;
     const body = hasBody(req) ? await deps.readBody(req, maxBodyBytes) : undefined;
     const spec = { ...specWithoutBody, body };
-    if (deps.isPoison(spec)) throw createRefusal('quarantined');
+    const poison = deps.findPoison(spec);
+    if (poison !== undefined) throw createRefusal('quarantined', { detail: poison });
     return spec;
   }
 
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -50,6 +50,9 @@
   const crashes = new Counter({
     name: 'verbenashunt_gateway_target_crashes_total', help: 'Crashes of targets with requests, by whether this entry saw them or read of them in the row of another entry.', labelNames: ['seen_by'], registers,
   });
+  const crashingParts = new Gauge({
+    name: 'verbenashunt_gateway_crashing_parts', help: 'Parts of prompts that crash targets; requests with them are refused.', registers,
+  });
   const organisations = new Set<string>();
 
   function labelOf(organisation: string | undefined): string {
@@ -62,6 +65,7 @@
     registry,
     config,
     targets,
+    crashingParts,
     /** Counts a header that was ignored because its value is invalid. */
     invalidHeader: (header: string) => invalidHeaders.inc({ header }),
     /** Counts a crash of a target that this entry saw itself, or read of in another's row. */
--- a/packages/gateway/src/requests/crash-watch.ts
+++ b/packages/gateway/src/requests/crash-watch.ts
@@ -5,13 +5,14 @@
 import { createHash } from 'node:crypto';
 import type { Logger } from 'pino';
 import {
-  errorFields, incarnationOf, TargetError, type ServingTarget,
+  errorFields, incarnationOf, TargetError, type Clock, type ServingTarget,
 } from '@verbenashunt/core';
 import { requestReport, type ReportDeps } from '../routing/report.js';
 import type { CrashTable } from '../store/crash-table.js';
 import type { RequestSpec } from './spec.js';
 
 export interface CrashWatchDeps extends ReportDeps {
+  clock: Clock;
   log: Logger;
   crashTable: CrashTable;
   /** Counts a crash that this entry has seen. */
@@ -21,25 +22,49 @@
 /** What a target sees of a request, apart from the id of the attempt. */
 export type RequestContent = Pick<RequestSpec, 'caller' | 'body' | 'organisation'>;
 
+/** How far the attempt at a target has come. */
+export interface AttemptProgress {
+  /** When it was sent, on the entry's clock. */
+  sentAt: number;
+  /** Whether the target had sent a part of the answer. */
+  hasBegun: boolean;
+}
+
 /** A request that a target dropped. */
-interface LostRequest {
+interface LostRequest extends AttemptProgress {
   id: string;
   fingerprint: string;
-  promptParts: readonly string[];
-  /** Whether the target had sent a part of the answer. */
-  hasBegun: boolean;
+  /** Parts of its prompt that other requests may share. */
+  parts: readonly string[];
+}
+
+/** A target that is being asked for its report. */
+interface PendingCheck {
+  /** When the first of its requests was lost, on the entry's clock. */
+  since: number;
+  lost: LostRequest[];
+  /** Called when the check is done. */
+  onChecked: (() => void)[];
 }
 
 export interface CrashWatch {
   /**
-   * Records that a target may have crashed while it ran a request; checks whether it did.
-   * `hasBegun` says whether the target had sent a part of the answer.
+   * Records that a target may have crashed while it ran a request, and checks whether it did.
+   * `onChecked` is called once `findPoison` takes this into account: at once for a request that is
+   * not under suspicion of having crashed it.
    */
-  lost(req: RequestContent, target: ServingTarget, hasBegun: boolean): void;
+  lost(
+    req: RequestContent,
+    target: ServingTarget,
+    progress: AttemptProgress,
+    onChecked: () => void,
+  ): void;
+  /** Records that the answer to a request has begun. */
+  begun(req: RequestContent): void;
   /** Records that a target answered a request completely. */
   answered(req: RequestContent): void;
-  /** Whether a request must not run because it crashes targets. */
-  isPoison(req: RequestContent): boolean;
+  /** Why a request must not run, as it crashes targets; undefined if it may run. */
+  findPoison(req: RequestContent): string | undefined;
 }
 
 /** Time in milliseconds for a target to answer a report request before it counts as crashed. */
@@ -58,24 +83,29 @@
     .slice(0, fingerprintLength);
 }
 
+/** The last part of a prompt belongs to one request or session alone. */
+const sharedParts = ({ caller }: RequestContent) => caller.promptParts.slice(0, -1);
+
+const unbegunOf = (lost: readonly LostRequest[]) => lost.filter(({ hasBegun }) => !hasBegun);
+
 export function createCrashWatch(deps: CrashWatchDeps): CrashWatch {
-  const { log, crashTable } = deps;
-  /** Requests whose target is being asked for its report, by target. */
-  const pendingByTarget = new Map<string, LostRequest[]>();
+  const { clock, log, crashTable } = deps;
+  /** By target. */
+  const pendingChecks = new Map<string, PendingCheck>();
 
   function logCrash(target: ServingTarget, lost: readonly LostRequest[], err: unknown) {
-    const unbegun = lost.filter(({ hasBegun }) => !hasBegun);
+    const unbegun = unbegunOf(lost);
     log.warn({
       target: target.id,
       requests: lost.length,
       begun: lost.length - unbegun.length,
       unbegun: unbegun.slice(0, maxLoggedRequests)
-        .map(({ id, promptParts }) => ({ req: id, parts: promptParts })),
+        .map(({ id, parts }) => ({ req: id, parts })),
       ...errorFields(err),
     }, 'target crashed with requests');
   }
 
-  async function checkCrashed(target: ServingTarget, lost: readonly LostRequest[]) {
+  async function checkCrashed(target: ServingTarget, { since, lost, onChecked }: PendingCheck) {
     try {
       await requestReport(deps, target, reportTimeoutMs);
     } catch (err) {
@@ -86,33 +116,46 @@
       crashTable.recordCrash({
         target: incarnationOf(target),
         fingerprints: [...new Set(lost.map(({ fingerprint }) => fingerprint))],
+        at: since,
+        unbegun: unbegunOf(lost),
       });
     } finally {
-      pendingByTarget.delete(target.id);
+      pendingChecks.delete(target.id);
+      onChecked.forEach((callback) => callback());
     }
   }
 
   return {
-    lost(req, target, hasBegun) {
-      const { id, promptParts } = req.caller;
+    lost(req, target, progress, onChecked) {
       const request = {
-        id, promptParts, hasBegun, fingerprint: fingerprintOf(req),
+        ...progress,
+        id: req.caller.id,
+        parts: sharedParts(req),
+        fingerprint: fingerprintOf(req),
       };
-      const pending = pendingByTarget.get(target.id);
-      if (pending) {
-        pending.push(request);
-        return;
+      const isSuspect = !request.hasBegun && request.parts.length > 0;
+      const check = pendingChecks.get(target.id)
+        ?? { since: clock.now(), lost: [], onChecked: [] };
+      check.lost.push(request);
+      if (isSuspect) check.onChecked.push(onChecked);
+      if (!pendingChecks.has(target.id)) {
+        pendingChecks.set(target.id, check);
+        checkCrashed(target, check);
       }
-      const lost = [request];
-      pendingByTarget.set(target.id, lost);
-      checkCrashed(target, lost);
+      if (!isSuspect) onChecked();
     },
+    begun: (req) => crashTable.recordBegun(sharedParts(req)),
     answered(req) {
       if (crashTable.isEmpty) return;
       const fingerprint = fingerprintOf(req);
       const targets = crashTable.targetsOf(fingerprint);
       if (targets.length > 0) crashTable.recordAnswerAfterCrash({ fingerprint, targets });
     },
-    isPoison: (req) => !crashTable.isEmpty && crashTable.isPoison(fingerprintOf(req)),
+    findPoison(req) {
+      if (crashTable.isEmpty) return undefined;
+      const part = crashTable.findCrashingPart(sharedParts(req));
+      if (part !== undefined) return `part ${part} of its prompt`;
+      return crashTable.isPoison(fingerprintOf(req)) ? 'its content' : undefined;
+    },
   };
 }
--- a/packages/gateway/src/requests/reroute.ts
+++ b/packages/gateway/src/requests/reroute.ts
@@ -3,7 +3,7 @@
 import { exchangeOnce } from '@verbenashunt/wire';
 import type { Choice, Selector } from '../routing/selector.js';
 import type { AttemptDeps } from './attempt.js';
-import type { CrashWatch } from './crash-watch.js';
+import type { AttemptProgress, CrashWatch } from './crash-watch.js';
 import type { RequestLog } from './request-log.js';
 import type { RequestSpec } from './spec.js';
 
@@ -16,8 +16,8 @@
   choice(): Choice | undefined;
   /** Whether a new attempt could continue it on a chain within one zone, without these targets. */
   canResume(without: ReadonlySet<string>): boolean;
-  /** Whether an event has arrived in this attempt. */
-  hasBegun(): boolean;
+  /** How far the attempt at this chain has come. */
+  attemptProgress(): AttemptProgress;
   /** Ends the attempt, so that the stream is resumed elsewhere; `blamed` is an address. */
   abandon(reason: string, blamed: string): void;
   /** Called when it continues over another chain with the same first target. */
@@ -104,7 +104,9 @@
       if (target) {
         selector.recordFailure(target.id);
         // Recorded once per stage, as the same stall is reported repeatedly.
-        if (!avoid.has(target.id)) deps.crashWatch.lost(spec, target, stream.hasBegun());
+        if (!avoid.has(target.id)) {
+          deps.crashWatch.lost(spec, target, stream.attemptProgress(), () => {});
+        }
       }
       start({ culprit: target?.id, address, reason: 'a stage is dead' });
     },
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -56,7 +56,11 @@
   /** Progress of the current attempt; undefined for a call that is not a stream. */
   let progress: StreamProgress | undefined;
 
+  /** When the current attempt was sent. */
+  let sentAt = spec.arrivedAt;
+
   const timeLeftMs = () => spec.expiresAt - clock.now();
+  const attemptProgress = () => ({ sentAt, hasBegun: progress?.hasStarted ?? false });
 
   function endAttempt() {
     cancelTimer();
@@ -94,6 +98,17 @@
     }
   }
 
+  /** Ends the request if it must not run again because it crashes targets; whether it has to. */
+  function endIfPoison(): boolean {
+    const poison = deps.crashWatch.findPoison(spec);
+    if (poison === undefined) return false;
+    const reason = `crashes targets by ${poison}`;
+    if (delivery.hasStarted) cutOff(reason);
+    else if (retryState.ran === 0) refuse('quarantined', 'no', reason);
+    else refuse('interrupted', 'unknown', reason);
+    return true;
+  }
+
   /** Chooses where to retry; undefined when no time, target or retry budget is left. */
   function chooseRetry(attemptEnd: AttemptEnd): Choice | undefined {
     const next = timeLeftMs() < minAttemptTimeMs ? undefined : selector.choose(spec, avoid);
@@ -110,14 +125,26 @@
   }
 
   /* eslint-disable @typescript-eslint/no-use-before-define -- a failure starts the next attempt */
+  function retryOrFinish(failure: AttemptFailure) {
+    if (isOver || endIfPoison()) return;
+    const { end: attemptEnd } = failure;
+    const shouldRetry = nextStep(spec, retryState, attemptEnd, true).do === 'try';
+    // The caller keeps the part that it has received, so the stream may wait for a new chain.
+    if (shouldRetry && retryState.delivered && timeLeftMs() > minAttemptTimeMs) {
+      if (attemptEnd === 'not_run') deps.resumeQueue.refused();
+      resumeLater();
+      return;
+    }
+    const next = shouldRetry ? chooseRetry(attemptEnd) : undefined;
+    if (next) runAttempt(next);
+    else finish(nextStep(spec, retryState, attemptEnd, false), failure);
+  }
+
   function failed(failure: AttemptFailure) {
     endAttempt();
     attempt = undefined;
     const { end: attemptEnd, reason, blamed } = failure;
     deps.attemptFailed(attemptEnd);
-    if (failure.isConnectionLost) {
-      deps.crashWatch.lost(spec, choice!.target, progress?.hasStarted ?? false);
-    }
     log.info({
       req: spec.caller.id,
       target: choice!.target.id,
@@ -131,21 +158,15 @@
     });
     if (culprit !== undefined) avoid.add(culprit);
     retryState = afterAttempt(retryState, attemptEnd);
-    const shouldRetry = nextStep(spec, retryState, attemptEnd, true).do === 'try';
-    // The caller keeps the part that it has received, so the stream may wait for a new chain.
-    if (shouldRetry && retryState.delivered && timeLeftMs() > minAttemptTimeMs) {
-      if (attemptEnd === 'not_run') deps.resumeQueue.refused();
-      resumeLater();
-      return;
-    }
-    const next = shouldRetry ? chooseRetry(attemptEnd) : undefined;
-    if (next) runAttempt(next);
-    else finish(nextStep(spec, retryState, attemptEnd, false), failure);
+    if (failure.isConnectionLost) {
+      deps.crashWatch.lost(spec, choice!.target, attemptProgress(), () => retryOrFinish(failure));
+    } else retryOrFinish(failure);
   }
 
   /** Waits for a turn to resume; targets that were full may have capacity by then. */
   function resumeLater() {
     cancelTimer = deps.resumeQueue.wait(() => {
+      if (endIfPoison()) return;
       let next = selector.choose(spec, avoid);
       if (!next) {
         avoid.clear();
@@ -200,7 +221,7 @@
     avoid,
     choice: () => (attempt && !isOver ? choice : undefined),
     canResume,
-    hasBegun: () => progress?.hasStarted ?? false,
+    attemptProgress,
     abandon,
     rerouted(next) {
       choice = next;
@@ -227,6 +248,7 @@
       return;
     }
     quietSince = clock.now();
+    if (progress?.hasStarted === false) deps.crashWatch.begun(spec);
     progress?.event(quietSince);
     retryState = { ...retryState, delivered: true };
     rerouter.moveIfDraining();
@@ -263,6 +285,7 @@
   function runAttempt(next: Choice) {
     choice = next;
     attempts += 1;
+    sentAt = clock.now();
     releaseHold = selector.countInFlight(choice, spec);
     limitAttemptTime();
     watchSilence();
--- a/packages/gateway/src/store/crash-table.ts
+++ b/packages/gateway/src/store/crash-table.ts
@@ -4,17 +4,22 @@
  */
 import type { Logger } from 'pino';
 import {
-  createCrashHistory, errorFields, parseCrashRecord, withAnswerAfterCrash, withCrash,
+  createCrashHistory, createPartQuarantine, errorFields, parseCrashRecord, withAnswerAfterCrash,
+  withBegunParts, withCrash,
   type AnswerAfterCrash, type CancelTimer, type Clock, type Crash, type CrashRecord,
+  type UnbegunRequest,
 } from '@verbenashunt/core';
 import type { RowStore, StoredRow } from '../ports.js';
 import { followTable } from './follow.js';
 
 const table = 'verbenashunt-crashes';
-/** Long-poll timeout of calls to the store in milliseconds; long, since crashes are rare. */
-const waitMs = 5000;
 /** Delay before a write in milliseconds, so that one write covers several records. */
 const writeDelayMs = 50;
+/**
+ * Time in milliseconds over which entries spread the writes of begun parts, as each may be able to
+ * clear the same part and one write is enough.
+ */
+const begunSpreadMs = 250;
 /** Delay before a failed write is repeated, in milliseconds; it doubles with each failure. */
 const firstRetryMs = 500;
 const maxRetryMs = 4000;
@@ -27,18 +32,43 @@
   log: Logger;
   store: RowStore;
   node: string;
+  /** Converts a time on the entry's clock to the store's; undefined while that is unknown. */
+  storeTimeOf(time: number): number | undefined;
   /** Called once for each incarnation that another entry, or an earlier process, saw crash. */
   onCrash(incarnation: string): void;
 }
 
+/** A request without a begun answer on a target that crashed. */
+export interface LostUnbegun {
+  /** Ids of the parts of its prompt that other requests may share. */
+  parts: readonly string[];
+  /** When it was sent, on the entry's clock. */
+  sentAt: number;
+}
+
+/** A crash as this entry has seen it. */
+export interface SeenCrash extends Pick<Crash, 'target' | 'fingerprints'> {
+  /** When it was noticed, on the entry's clock. */
+  at: number;
+  unbegun: readonly LostUnbegun[];
+}
+
 export interface CrashTable {
   /** Whether no entry has recorded anything. */
   readonly isEmpty: boolean;
+  /** Whether the records of the other entries have been read. */
+  readonly isRead: boolean;
+  /** Number of parts of prompts that are refused. */
+  readonly crashingParts: number;
   /** Incarnations that crashed while they ran requests with this fingerprint. */
   targetsOf(fingerprint: string): string[];
   /** Whether requests with this fingerprint crash the targets that run them. */
   isPoison(fingerprint: string): boolean;
-  recordCrash(crash: Crash): void;
+  /** The first of the parts of a prompt that crashes targets; undefined if none does. */
+  findCrashingPart(parts: readonly string[]): string | undefined;
+  recordCrash(crash: SeenCrash): void;
+  /** Records that an answer has begun on a prompt with these parts. */
+  recordBegun(parts: readonly string[]): void;
   recordAnswerAfterCrash(answer: AnswerAfterCrash): void;
   close(): void;
 }
@@ -51,10 +81,27 @@
   /** Incarnations passed to `onCrash`; a few a day, so they are never removed. */
   const seenIncarnations = new Set<string>();
   let ownRecord: CrashRecord | undefined;
-  let cancelWrite: CancelTimer | undefined;
+  let isRead = false;
+  let cancelWrite: CancelTimer = () => {};
+  /** When the next write is due; undefined while none is. */
+  let writeAt: number | undefined;
   let writeRetryMs: number = firstRetryMs;
   let isClosed = false;
 
+  const quarantine = createPartQuarantine({
+    clock,
+    history,
+    storeTime: () => deps.storeTimeOf(clock.now()),
+    onQuarantined({ part, evidence }) {
+      log.warn({
+        part, crashes: evidence.map(({ target }) => target),
+      }, 'part of prompts crashes targets, requests with it are refused');
+    },
+    onReleased(part) {
+      log.info({ part }, 'part of prompts is no longer refused');
+    },
+  });
+
   function decode({ key, value }: StoredRow): CrashRecord | undefined {
     try {
       return value && parseCrashRecord(JSON.parse(value.toString()));
@@ -71,6 +118,7 @@
     const found = decode(row);
     if (isOwn) ownRecord = found;
     history.put(row.key, found);
+    quarantine.historyChanged();
     const unseen = (found?.crashes ?? []).filter(({ target }) => !seenIncarnations.has(target));
     if (unseen.length === 0) return;
     log.info({
@@ -83,7 +131,7 @@
   }
 
   async function write() {
-    cancelWrite = undefined;
+    writeAt = undefined;
     const value = Buffer.from(JSON.stringify(ownRecord));
     try {
       await store.write({ expect: [], put: [{ table, key: node, value }] });
@@ -97,37 +145,87 @@
   }
 
   function scheduleWrite(ms: number) {
-    if (isClosed) return;
-    cancelWrite ??= clock.after(ms, write);
+    const dueAt = clock.now() + ms;
+    if (isClosed || (writeAt ?? Infinity) <= dueAt) return;
+    cancelWrite();
+    writeAt = dueAt;
+    cancelWrite = clock.after(ms, write);
   }
 
-  function saveOwn(next: CrashRecord) {
+  function saveOwn(next: CrashRecord, delayMs: number) {
     ownRecord = next;
     history.put(node, next);
-    scheduleWrite(writeDelayMs);
+    quarantine.historyChanged();
+    scheduleWrite(delayMs);
+  }
+
+  /** Tells the other entries of answers that have begun here on parts that they may soon refuse. */
+  function shareBegun() {
+    const begun = quarantine.unsharedBegun();
+    if (begun.length > 0) saveOwn(withBegunParts(ownRecord, begun), begunSpreadMs * deps.random());
+  }
+
+  function onRows(rows: readonly StoredRow[]) {
+    rows.forEach(onRow);
+    shareBegun();
   }
 
   const follower = followTable({
     table,
-    waitMs,
+    onStoreRecovered() {
+      // A failed write need not wait any longer.
+      if (writeAt !== undefined) scheduleWrite(0);
+    },
     onStoreRestored() {
       if (ownRecord) scheduleWrite(rewriteSpreadMs * deps.random());
     },
-    onRows: (rows) => rows.forEach(onRow),
-    onChanges: (rows) => rows.forEach(onRow),
+    onRows(rows) {
+      isRead = true;
+      onRows(rows);
+    },
+    onChanges: onRows,
   }, deps);
 
+  function toStored({ sentAt, parts }: LostUnbegun): UnbegunRequest[] {
+    const storedAt = deps.storeTimeOf(sentAt);
+    return storedAt === undefined ? [] : [{ parts, sentAt: Math.round(storedAt) }];
+  }
+
   return {
     get isEmpty() {
       return history.isEmpty;
     },
     targetsOf: history.targetsOf,
+    get isRead() {
+      return isRead;
+    },
+    get crashingParts() {
+      return quarantine.size;
+    },
     isPoison: history.isPoison,
-    recordCrash: (crash) => saveOwn(withCrash(ownRecord, crash)),
-    recordAnswerAfterCrash: (answer) => saveOwn(withAnswerAfterCrash(ownRecord, answer)),
+    findCrashingPart: quarantine.findCrashing,
+    recordCrash({
+      target, fingerprints, at, unbegun,
+    }) {
+      saveOwn(withCrash(ownRecord, {
+        target,
+        fingerprints,
+        at: Math.round(deps.storeTimeOf(at) ?? 0),
+        unbegun: unbegun.flatMap(toStored),
+      }), writeDelayMs);
+      shareBegun();
+    },
+    recordBegun(parts) {
+      quarantine.recordBegun(parts);
+      if (!history.isEmpty) shareBegun();
+    },
+    recordAnswerAfterCrash: (answer) => saveOwn(
+      withAnswerAfterCrash(ownRecord, answer),
+      writeDelayMs,
+    ),
     close() {
       isClosed = true;
-      cancelWrite?.();
+      cancelWrite();
       follower.close();
     },
   };
--- a/packages/gateway/src/store/lease-keeper.ts
+++ b/packages/gateway/src/store/lease-keeper.ts
@@ -66,6 +66,11 @@
   entries(): readonly EntryRecord[];
   /** Number of known entries, at least 1. */
   entryCount(): number;
+  /**
+   * Converts a time on this process's clock to the store's, in milliseconds; undefined before the
+   * store's first answer.
+   */
+  storeTimeOf(time: number): number | undefined;
   /** To be called when a target refuses an order because it has seen a higher token. */
   onFenced(token: number): void;
   /**
@@ -271,6 +276,7 @@
       return token > highestFenced ? { token, isHolderUnknown } : undefined;
     },
     entries: () => entries.all,
+    storeTimeOf: (time) => (era === undefined ? undefined : time + clockOffset),
     entryCount: () => Math.max(1, entries.all.length),
     nextEntryMs: () => nextEntryMs(entries.all, node, clock.now() + clockOffset),
     onFenced(token) {
--- a/packages/gateway/src/targets/target-tracking.ts
+++ b/packages/gateway/src/targets/target-tracking.ts
@@ -15,7 +15,7 @@
 import { createStallWatch, type StallWatch } from '../requests/stall-watch.js';
 import { createLoadMonitor, type LoadMonitor } from '../routing/load-monitor.js';
 import { createSelector, type Selector } from '../routing/selector.js';
-import { createCrashTable } from '../store/crash-table.js';
+import { createCrashTable, type CrashTable } from '../store/crash-table.js';
 import type { LeaseKeeper } from '../store/lease-keeper.js';
 import { createTargetList, type TargetList } from '../store/target-list.js';
 import { createTargetExchanger } from './target-exchanger.js';
@@ -51,6 +51,7 @@
   targetList: TargetList;
   chainWatch: ChainWatch;
   crashWatch: CrashWatch;
+  crashTable: CrashTable;
   stallWatch: StallWatch;
   close(): void;
 }
@@ -146,6 +147,7 @@
     log,
     store,
     node,
+    storeTimeOf: lease.storeTimeOf,
     onCrash(incarnation) {
       deps.crashSeen('other');
       const target = targets.all.find((other) => incarnationOf(other) === incarnation);
@@ -158,7 +160,9 @@
     acceptsConnection,
     onDead(target) {
       markDead(target);
-      crashTable.recordCrash({ target: incarnationOf(target), fingerprints: [] });
+      crashTable.recordCrash({
+        target: incarnationOf(target), fingerprints: [], at: clock.now(), unbegun: [],
+      });
     },
   });
   const stallWatch = createStallWatch({
@@ -174,8 +178,9 @@
     targetList,
     chainWatch,
     crashWatch: createCrashWatch({
-      log, exchanger, protocol, crashTable, crashSeen: deps.crashSeen,
+      clock, log, exchanger, protocol, crashTable, crashSeen: deps.crashSeen,
     }),
+    crashTable,
     stallWatch,
     close() {
       targetList.close();
