Tell the other entries of crashes directly while the store does not take them

Records of an entry are merged, so an older row that a late write brings back takes nothing away, and the entry writes its row again. Writes that add no suspect are spread by the number of entries, as each entry with a stream on a crashed target has one.

--- a/packages/core/src/poison/crash-history.ts
+++ b/packages/core/src/poison/crash-history.ts
@@ -37,7 +37,10 @@
 }
 
 export interface CrashHistory {
-  /** Sets the record of an entry; undefined removes it. */
+  /**
+   * Adds what a record of an entry holds, which may also be an older one; undefined removes all
+   * that is known of the entry.
+   */
   put(entry: string, record: CrashRecord | undefined): void;
   /** Targets that crashed while they ran a request, unless it was answered afterwards. */
   targetsOf(fingerprint: string): string[];
@@ -119,9 +122,17 @@
   };
 }
 
+const sameUnbegun = (a: UnbegunRequest, b: UnbegunRequest) => a.sentAt === b.sentAt
+  && a.parts.join() === b.parts.join();
+
 /** Two observations of the same crash as one. */
 const mergeCrashes = <T extends PartCrash>(a: T, b: T): T => ({
-  ...a, at: Math.min(a.at, b.at), unbegun: [...a.unbegun, ...b.unbegun],
+  ...a,
+  at: Math.min(a.at, b.at),
+  unbegun: [
+    ...a.unbegun,
+    ...b.unbegun.filter((req) => !a.unbegun.some((other) => sameUnbegun(req, other))),
+  ],
 });
 
 /** Adds a crash to a record and drops the oldest ones if it gets too large. */
@@ -144,17 +155,27 @@
   return limitSize({ ...before, acquittals: [...before.acquittals, answer] });
 }
 
-/** Adds begun parts to a record, in place of what it has on them. */
+/** Adds begun parts to a record, of each the last time that is known. */
 export function withBegunParts(
   record: CrashRecord | undefined,
   begun: readonly BegunPart[],
 ): CrashRecord {
   const before = record ?? emptyRecord;
+  const times = new Map(before.begun.map(({ part, at }) => [part, at]));
+  const added = begun.map(({ part, at }) => ({ part, at: Math.max(at, times.get(part) ?? at) }));
   const parts = new Set(begun.map(({ part }) => part));
   const others = before.begun.filter(({ part }) => !parts.has(part));
-  return limitSize({ ...before, begun: [...others, ...begun] });
+  return limitSize({ ...before, begun: [...others, ...added] });
 }
 
+/** All that two records of one entry hold, the newer one last. */
+const mergeRecords = (older: CrashRecord, newer: CrashRecord): CrashRecord => withBegunParts(
+  newer.acquittals.filter((answer) => !older.acquittals.some(({ fingerprint, targets }) => (
+    fingerprint === answer.fingerprint && targets.join() === answer.targets.join())))
+    .reduce(withAnswerAfterCrash, newer.crashes.reduce(withCrash, older)),
+  newer.begun,
+);
+
 /** When an answer last began on each part, as any of the records says. */
 function lastBegun(records: readonly CrashRecord[]): Map<string, number> {
   const times = new Map<string, number>();
@@ -185,8 +206,11 @@
 
   return {
     put(entry, record) {
-      if (record) records.set(entry, { record, until: clock.now() + recordTtlMs });
-      else records.delete(entry);
+      if (record) {
+        const known = records.get(entry);
+        const merged = known ? mergeRecords(known.record, record) : record;
+        records.set(entry, { record: merged, until: clock.now() + recordTtlMs });
+      } else records.delete(entry);
       begunTimes = undefined;
     },
     targetsOf,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -104,7 +104,9 @@
     server?.apply(limits);
     events.emit('config', version);
   });
-  const { lease, store, close: closeStore } = await createStoreAccess(cfg, {
+  const {
+    lease, store, announcements, close: closeStore,
+  } = await createStoreAccess(cfg, {
     clock, random, log, store: ports.store, changeBoundMs: () => options.changeBoundMs,
   });
 
@@ -123,6 +125,7 @@
     random,
     log,
     store,
+    announcements,
     lease,
     config,
     protocol: ports.targets,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,6 +2,7 @@
 export * from './gateway.js';
 export * from './metrics.js';
 export type * from './ports.js';
+export * from './relay/announcements.js';
 export * from './relay/choose-relay.js';
 export * from './relay/encoding.js';
 export * from './relay/relay-server.js';
--- a/packages/gateway/src/relay/relay-server.ts
+++ b/packages/gateway/src/relay/relay-server.ts
@@ -1,6 +1,11 @@
-/** HTTP server on which other entries follow tables of the store through this entry. */
+/**
+ * HTTP server for other entries, on which they follow tables of the store through this entry and
+ * announce rows of their own.
+ */
 import type { AddressInfo } from 'node:net';
 import restana from 'restana';
+import { createBodyReader } from '@verbenashunt/wire';
+import { announcementPath, type AnnouncedRow } from './announcements.js';
 import type { Address } from '../http/server.js';
 import { encodeChanges } from './encoding.js';
 import type { TableLog } from './table-log.js';
@@ -8,7 +13,12 @@
 /** Path under which each table has its changes. */
 export const relayPath = '/changes';
 const statusOk = 200;
+const statusNoContent = 204;
 const statusUnavailable = 503;
+/** Maximum size in bytes of an announced row, as in the store. */
+const maxRowBytes = 64 * 1024;
+/** Maximum total size in bytes of the rows that are being received. */
+const maxBufferedBytes = 4 * 1024 * 1024;
 /** Longest time in milliseconds for which a request waits for changes. */
 const maxWaitMs = 10_000;
 
@@ -17,12 +27,19 @@
   close(): void;
 }
 
-/** `logOf` returns the log of a table that this entry follows, undefined for another table. */
+export interface RelayServerDeps {
+  /** Returns the log of a table that this entry follows, undefined for another table. */
+  logOf(table: string): TableLog | undefined;
+  /** Called with a row that another entry announces. */
+  onAnnouncement(row: AnnouncedRow): void;
+}
+
 export async function serveRelay(
   { host, port }: Address,
-  logOf: (table: string) => TableLog | undefined,
+  { logOf, onAnnouncement }: RelayServerDeps,
 ): Promise<RelayServer> {
   const app = restana();
+  const readBody = createBodyReader({ maxBufferedBytes });
   app.get(`${relayPath}/:table`, async (req, res) => {
     const query = new URL(req.url!, 'http://relay').searchParams;
     const numberOf = (name: string) => Number(query.get(name) ?? 0) || 0;
@@ -35,6 +52,15 @@
     res.setHeader('content-length', Buffer.byteLength(body));
     res.end(body);
   });
+  app.put(`${announcementPath}/:table/:key`, async (req, res) => {
+    const { table, key } = req.params;
+    const value = await readBody(req, maxRowBytes);
+    onAnnouncement({
+      table: decodeURIComponent(table!), key: decodeURIComponent(key!), value,
+    });
+    res.statusCode = statusNoContent;
+    res.end();
+  });
   const server = await app.start(port, host);
   return {
     port: (server.address() as AddressInfo).port,
--- a/packages/gateway/src/store/crash-table.ts
+++ b/packages/gateway/src/store/crash-table.ts
@@ -1,28 +1,28 @@
 /**
  * Shares records of crashed targets, and of the requests that ran there, among all entries. Each
- * entry writes one row of a table in the store and reads the rows of the others.
+ * entry writes one row of a table in the store and reads the rows of the others. While the store
+ * does not take rows, entries send them to each other.
  */
 import type { Logger } from 'pino';
 import {
   createCrashHistory, createPartQuarantine, errorFields, parseCrashRecord, withAnswerAfterCrash,
   withBegunParts, withCrash,
-  type AnswerAfterCrash, type CancelTimer, type Clock, type Crash, type CrashRecord,
+  type AnswerAfterCrash, type Clock, type Crash, type CrashRecord,
   type UnbegunRequest,
 } from '@verbenashunt/core';
 import type { RowStore, StoredRow } from '../ports.js';
+import type { Announcements } from '../relay/announcements.js';
 import { followTable } from './follow.js';
+import { createOwnRow } from './own-row.js';
 
 const table = 'verbenashunt-crashes';
 /** Delay before a write in milliseconds, so that one write covers several records. */
 const writeDelayMs = 50;
 /**
- * Time in milliseconds over which entries spread the writes of begun parts, as each may be able to
- * clear the same part and one write is enough.
+ * Time in milliseconds for each entry over which the entries spread writes that add no suspect, as
+ * many may write about the same crash, or clear the same part.
  */
-const begunSpreadMs = 250;
-/** Delay before a failed write is repeated, in milliseconds; it doubles with each failure. */
-const firstRetryMs = 500;
-const maxRetryMs = 4000;
+const spreadPerEntryMs = 5;
 /** Time in milliseconds over which entries spread the writes after a restoration of the store. */
 const rewriteSpreadMs = 2000;
 
@@ -31,7 +31,10 @@
   random: () => number;
   log: Logger;
   store: RowStore;
+  announcements: Pick<Announcements, 'send' | 'onRow'>;
   node: string;
+  /** Number of entries, this one included. */
+  entryCount(): number;
   /** Converts a time on the entry's clock to the store's; undefined while that is unknown. */
   storeTimeOf(time: number): number | undefined;
   /** Called once for each incarnation that another entry, or an earlier process, saw crash. */
@@ -75,18 +78,18 @@
 
 export function createCrashTable(deps: CrashTableDeps): CrashTable {
   const {
-    clock, log, store, node,
+    clock, log, node, announcements,
   } = deps;
   const history = createCrashHistory(clock);
   /** Incarnations passed to `onCrash`; a few a day, so they are never removed. */
   const seenIncarnations = new Set<string>();
   let ownRecord: CrashRecord | undefined;
   let isRead = false;
-  let cancelWrite: CancelTimer = () => {};
-  /** When the next write is due; undefined while none is. */
-  let writeAt: number | undefined;
-  let writeRetryMs: number = firstRetryMs;
-  let isClosed = false;
+  const ownRow = createOwnRow({
+    ...deps,
+    table,
+    encode: () => Buffer.from(JSON.stringify(ownRecord)),
+  });
 
   const quarantine = createPartQuarantine({
     clock,
@@ -102,7 +105,7 @@
     },
   });
 
-  function decode({ key, value }: StoredRow): CrashRecord | undefined {
+  function decode({ key, value }: Pick<StoredRow, 'key' | 'value'>): CrashRecord | undefined {
     try {
       return value && parseCrashRecord(JSON.parse(value.toString()));
     } catch (err) {
@@ -111,10 +114,27 @@
     }
   }
 
-  function onRow(row: StoredRow) {
+  function saveOwn(next: CrashRecord, delayMs: number) {
+    ownRecord = next;
+    history.put(node, next);
+    quarantine.historyChanged();
+    ownRow.writeIn(delayMs);
+  }
+
+  const spreadDelayMs = () => writeDelayMs + spreadPerEntryMs * deps.entryCount() * deps.random();
+
+  /** Tells the other entries of answers that have begun here on parts that they may soon refuse. */
+  function shareBegun() {
+    const begun = quarantine.unsharedBegun();
+    if (begun.length > 0) saveOwn(withBegunParts(ownRecord, begun), spreadDelayMs());
+  }
+
+  function onRow(row: Pick<StoredRow, 'key' | 'value'>) {
     const isOwn = row.key === node;
-    // This process's record is newer than the row that an earlier process of this node wrote.
-    if (isOwn && ownRecord) return;
+    if (isOwn && ownRecord) {
+      ownRow.onRead(row.value);
+      return;
+    }
     const found = decode(row);
     if (isOwn) ownRecord = found;
     history.put(row.key, found);
@@ -122,62 +142,24 @@
     const unseen = (found?.crashes ?? []).filter(({ target }) => !seenIncarnations.has(target));
     if (unseen.length === 0) return;
     log.info({
-      entry: row.key, version: row.version, targets: unseen.map(({ target }) => target),
-    }, 'crashes read from the table');
+      entry: row.key, targets: unseen.map(({ target }) => target),
+    }, 'crashes seen by another entry');
     unseen.forEach(({ target }) => {
       seenIncarnations.add(target);
       deps.onCrash(target);
     });
   }
 
-  async function write() {
-    writeAt = undefined;
-    const value = Buffer.from(JSON.stringify(ownRecord));
-    try {
-      await store.write({ expect: [], put: [{ table, key: node, value }] });
-      writeRetryMs = firstRetryMs;
-    } catch (err) {
-      log.info(errorFields(err), 'crashes not recorded');
-      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- each leads to the other
-      scheduleWrite(writeRetryMs);
-      writeRetryMs = Math.min(maxRetryMs, 2 * writeRetryMs);
-    }
-  }
-
-  function scheduleWrite(ms: number) {
-    const dueAt = clock.now() + ms;
-    if (isClosed || (writeAt ?? Infinity) <= dueAt) return;
-    cancelWrite();
-    writeAt = dueAt;
-    cancelWrite = clock.after(ms, write);
-  }
-
-  function saveOwn(next: CrashRecord, delayMs: number) {
-    ownRecord = next;
-    history.put(node, next);
-    quarantine.historyChanged();
-    scheduleWrite(delayMs);
-  }
-
-  /** Tells the other entries of answers that have begun here on parts that they may soon refuse. */
-  function shareBegun() {
-    const begun = quarantine.unsharedBegun();
-    if (begun.length > 0) saveOwn(withBegunParts(ownRecord, begun), begunSpreadMs * deps.random());
-  }
-
-  function onRows(rows: readonly StoredRow[]) {
+  function onRows(rows: readonly Pick<StoredRow, 'key' | 'value'>[]) {
     rows.forEach(onRow);
     shareBegun();
   }
 
   const follower = followTable({
     table,
-    onStoreRecovered() {
-      // A failed write need not wait any longer.
-      if (writeAt !== undefined) scheduleWrite(0);
-    },
+    onStoreRecovered: ownRow.storeRecovered,
     onStoreRestored() {
-      if (ownRecord) scheduleWrite(rewriteSpreadMs * deps.random());
+      if (ownRecord) ownRow.writeIn(rewriteSpreadMs * deps.random());
     },
     onRows(rows) {
       isRead = true;
@@ -186,9 +168,13 @@
     onChanges: onRows,
   }, deps);
 
+  announcements.onRow(table, (row) => onRows([row]));
+
+  /** Empty for a request without shared parts, and while the store's clock is unknown. */
   function toStored({ sentAt, parts }: LostUnbegun): UnbegunRequest[] {
     const storedAt = deps.storeTimeOf(sentAt);
-    return storedAt === undefined ? [] : [{ parts, sentAt: Math.round(storedAt) }];
+    if (storedAt === undefined || parts.length === 0) return [];
+    return [{ parts, sentAt: Math.round(storedAt) }];
   }
 
   return {
@@ -212,7 +198,7 @@
         fingerprints,
         at: Math.round(deps.storeTimeOf(at) ?? 0),
         unbegun: unbegun.flatMap(toStored),
-      }), writeDelayMs);
+      }), unbegun.length > 0 ? writeDelayMs : spreadDelayMs());
       shareBegun();
     },
     recordBegun(parts) {
@@ -224,8 +210,7 @@
       writeDelayMs,
     ),
     close() {
-      isClosed = true;
-      cancelWrite();
+      ownRow.close();
       follower.close();
     },
   };
--- a/packages/gateway/src/store/store-access.ts
+++ b/packages/gateway/src/store/store-access.ts
@@ -7,6 +7,7 @@
 import { createExchanger } from '@verbenashunt/wire';
 import type { Address } from '../http/server.js';
 import type { RowStore } from '../ports.js';
+import { createAnnouncements, type Announcements } from '../relay/announcements.js';
 import { createRelayedStore, maxRelayDelayMs, type RelayedStore } from '../relay/relayed-store.js';
 import { serveRelay } from '../relay/relay-server.js';
 import { createLeaseKeeper, type LeaseKeeper } from './lease-keeper.js';
@@ -33,6 +34,8 @@
   lease: LeaseKeeper;
   /** The store, with changes followed through a relay where the bounds allow it. */
   store: RowStore;
+  /** Rows that entries send to each other while the store does not take them. */
+  announcements: Announcements;
   close(): void;
 }
 
@@ -51,8 +54,15 @@
 ): Promise<StoreAccess> {
   const exchanger = createExchanger({ connectTimeoutMs, keepAliveMs });
   let relayedStore: RelayedStore | undefined;
-  const server = relay && await serveRelay(relay, (table) => relayedStore?.logOf(table));
-  const lease = createLeaseKeeper({
+  let lease: LeaseKeeper | undefined;
+  const announcements = createAnnouncements({
+    log: deps.log, exchanger, node, entries: () => lease?.entries() ?? [],
+  });
+  const server = relay && await serveRelay(relay, {
+    logOf: (table) => relayedStore?.logOf(table),
+    onAnnouncement: announcements.receive,
+  });
+  lease = createLeaseKeeper({
     ...deps,
     node,
     relay: relay && { address: `${relay.host}:${server!.port}`, zone, capacity },
@@ -69,6 +79,7 @@
   return {
     lease,
     store: relayedStore,
+    announcements,
     close() {
       server?.close();
       exchanger.close();
--- a/packages/gateway/src/targets/target-tracking.ts
+++ b/packages/gateway/src/targets/target-tracking.ts
@@ -10,6 +10,7 @@
 } from '@verbenashunt/core';
 import { acceptsConnection, createExchanger, type Exchanger } from '@verbenashunt/wire';
 import type { RowStore, StoredRow, TargetProtocol } from '../ports.js';
+import type { Announcements } from '../relay/announcements.js';
 import { createChainWatch, type ChainWatch } from '../requests/chain-watch.js';
 import { createCrashWatch, type CrashWatch } from '../requests/crash-watch.js';
 import { createStallWatch, type StallWatch } from '../requests/stall-watch.js';
@@ -31,6 +32,7 @@
   random: () => number;
   log: Logger;
   store: RowStore;
+  announcements: Announcements;
   lease: LeaseKeeper;
   config: ServingConfigHolder;
   protocol: TargetProtocol;
@@ -73,7 +75,7 @@
   deps: TargetTrackingDeps,
 ): TargetTracking {
   const {
-    clock, random, log, store, lease, config, protocol,
+    clock, random, log, store, announcements, lease, config, protocol,
   } = deps;
   const targets = createTargetTable();
   const pauses = createTargetPauses(clock);
@@ -146,7 +148,9 @@
     random,
     log,
     store,
+    announcements,
     node,
+    entryCount: lease.entryCount,
     storeTimeOf: lease.storeTimeOf,
     onCrash(incarnation) {
       deps.crashSeen('other');
--- a/test/gateway/crash-table.test.ts
+++ b/test/gateway/crash-table.test.ts
@@ -29,7 +29,9 @@
     log: pino({ level: 'silent' }),
     store: client,
     node,
+    entryCount: () => 1,
     storeTimeOf: (time) => time,
+    announcements: { send() {}, onRow() {} },
     onCrash: (target) => crashedTargets.push(target),
   });
   closers.push(client.close, table.close);
@@ -78,3 +80,17 @@
     crashes: [{ target: 'target-1.5' }, { target: 'target-2.5' }],
   }), waitOptions);
 });
+
+test('writes its row again when an older write is carried out late', async () => {
+  const store = await startTestStore();
+  const a = startEntry(store, 'a');
+  const read = () => store.read('verbenashunt-crashes', 'a');
+  a.table.recordCrash(crashOf('target-1.5', ['f']));
+  await vi.waitFor(() => expect(read()).toBeDefined(), waitOptions);
+  const older = read();
+  a.table.recordCrash(crashOf('target-2.5', ['f']));
+  await vi.waitFor(() => expect(read()).not.toEqual(older), waitOptions);
+  const newer = read();
+  store.put('verbenashunt-crashes', 'a', older);
+  await vi.waitFor(() => expect(read()).toEqual(newer), waitOptions);
+});
--- a/test/gateway/crashing-parts.test.ts
+++ b/test/gateway/crashing-parts.test.ts
@@ -3,7 +3,8 @@
 import type { Gateway } from '@verbenashunt/gateway';
 import { startTarget, type TargetStandIn } from '@verbenashunt/platform/stand-in';
 import {
-  callGateway, startGateway, startGatewayFixture, streamHeaders, type GatewayFixture,
+  callGateway, startGateway, startGatewayFixture, streamHeaders, type CallerAnswer,
+  type GatewayFixture,
 } from '../support/gateway-fixture.js';
 
 /** Time in milliseconds, a bound of the settings, within which all entries know of a crash. */
@@ -62,17 +63,25 @@
   return Promise.all(results);
 }
 
-const arrivalsWithPart = () => targets.flatMap(({ ran }) => ran)
-  .filter(({ headers }) => String(headers['prompt-prefix']).includes(crashingPart)).length;
-
-test('requests that share a crashing part of their prompts stop reaching targets', async () => {
+/** Starts three gateways, also reachable for each other, and targets that crash at the part. */
+async function startFleet(targetCount: number) {
   isOver = false;
-  fixture = await startGatewayFixture();
+  const relay = { host: '127.0.0.1', port: 0 };
+  fixture = await startGatewayFixture({ gateway: { relay } });
   gateways.push(...await Promise.all(['entry-2', 'entry-3']
-    .map((node) => startGateway(fixture.store, node))));
+    .map((node) => startGateway(fixture.store, node, { relay }))));
+  await Promise.all(Array.from(
+    { length: targetCount },
+    (_, i) => startCrashingTarget(`engine-${i}`),
+  ));
+  // By then each gateway has read the rows of the others.
+  await wait(1500);
+}
+
+/** Sends a stream to one of the gateways in turn. */
+function stream(kind: string, i: number, part: string) {
   const ports = [fixture.gateway, ...gateways].map((gateway) => gateway.ports.front);
-  await Promise.all(Array.from({ length: 8 }, (_, i) => startCrashingTarget(`engine-${i}`)));
-  const stream = (kind: string, i: number, part: string) => callGateway(ports[i % ports.length]!, {
+  return callGateway(ports[i % ports.length]!, {
     method: 'POST',
     path: `/chat/${kind}/${i}`,
     body: `${kind} ${i}`,
@@ -82,7 +91,15 @@
       'request-deadline-ms': '4000',
     },
   });
-  await wait(1000);
+}
+
+const isServed = ({ status, isComplete }: CallerAnswer) => status === 200 && isComplete;
+
+const arrivalsWithPart = () => targets.flatMap(({ ran }) => ran)
+  .filter(({ headers }) => String(headers['prompt-prefix']).includes(crashingPart)).length;
+
+test('requests that share a crashing part of their prompts stop reaching targets', async () => {
+  await startFleet(8);
   const sentMs = 3 * contactMs;
   /** The first crashes come at once, so that the bound holds in the last third of the time. */
   async function countArrivalsAfterBound() {
@@ -98,6 +115,34 @@
   ]);
   expect(further).toBeLessThanOrEqual(maxFurtherArrivals);
   const last = sound.slice(-Math.floor(sound.length / 3));
-  const served = last.filter(({ status, isComplete }) => status === 200 && isComplete);
-  expect(served).toHaveLength(last.length);
+  expect(last.filter(isServed)).toHaveLength(last.length);
+});
+
+test('gateways learn of a crashing part from each other while the store is away', async () => {
+  await startFleet(8);
+  fixture.store.fault = 'silent';
+  await sendEvery(300, contactMs, (i) => stream('bad', i, crashingPart));
+  const sound = await sendEvery(100, 1000, (i) => stream('sound', i, '501'));
+  // Gateways that learn by themselves alone would each crash three targets.
+  expect(arrivalsWithPart()).toBeLessThan(6);
+  expect(sound.filter(isServed)).toHaveLength(sound.length);
+});
+
+test('a gateway that has just started sends no request with a known crashing part', async () => {
+  await startFleet(2);
+  const crashes = [3000, 2000, 1000].map((ageMs) => {
+    const at = performance.now() - ageMs;
+    return {
+      target: `gone-${ageMs}`,
+      fingerprints: [],
+      at,
+      unbegun: [{ parts: ['5a00', crashingPart], sentAt: at - 100 }],
+    };
+  });
+  fixture.store.put('verbenashunt-crashes', 'entry-9', { crashes, acquittals: [] });
+  const started = await startGateway(fixture.store, 'entry-4');
+  gateways.splice(0, 0, started);
+  const [answer] = await sendEvery(20, 1500, (i) => stream('bad', 3 * i + 1, crashingPart));
+  expect(answer!.status).toBe(503);
+  expect(arrivalsWithPart()).toBe(0);
 });
--- a/test/gateway/relay.test.ts
+++ b/test/gateway/relay.test.ts
@@ -163,7 +163,9 @@
       isEnabled: () => true,
       entries: () => entries,
     });
-    const relay = await serveRelay({ host: '127.0.0.1', port: 0 }, relayed.logOf);
+    const relay = await serveRelay({ host: '127.0.0.1', port: 0 }, {
+      logOf: relayed.logOf, onAnnouncement() {},
+    });
     entries.push({
       node, backAt: undefined, relay: { address: `127.0.0.1:${relay.port}`, zone: 'zone-a', capacity: count - i },
     });
--- a/test/platform/restored-store.test.ts
+++ b/test/platform/restored-store.test.ts
@@ -149,7 +149,12 @@
 test('a crash that the restored store forgot is recorded again', async () => {
   const copy = store.copy();
   const crashTable = createCrashTable({
-    ...createDeps(), node: 'a', storeTimeOf: (time) => time, onCrash() {},
+    ...createDeps(),
+    node: 'a',
+    entryCount: () => 1,
+    storeTimeOf: (time) => time,
+    announcements: { send() {}, onRow() {} },
+    onCrash() {},
   });
   cleanups.push(crashTable.close);
   crashTable.recordCrash({
--- a/test/support/gateway-fixture.ts
+++ b/test/support/gateway-fixture.ts
@@ -2,7 +2,7 @@
 import { request as httpRequest, type IncomingHttpHeaders } from 'node:http';
 import { pino } from 'pino';
 import { vi } from 'vitest';
-import { createGateway, type Gateway } from '@verbenashunt/gateway';
+import { createGateway, type Gateway, type GatewayOptions } from '@verbenashunt/gateway';
 import { createPlatformPorts } from '@verbenashunt/platform';
 import {
   operatorConfig, startStore, startTarget,
@@ -83,9 +83,14 @@
   pool?: [number, number][];
   engine?: Partial<TargetOptions>;
   config?: object;
+  gateway?: Partial<GatewayOptions>;
 }
 
-export async function startGateway(store: StoreStandIn, node = 'entry-1') {
+export async function startGateway(
+  store: StoreStandIn,
+  node = 'entry-1',
+  overrides: Partial<GatewayOptions> = {},
+) {
   return createGateway({
     node,
     zone: 'zone-a',
@@ -98,6 +103,7 @@
     graceMs: 3000,
     retries: { ratio: 0.2, extra: 200, windowMs: 10_000 },
     lapseGrace: { heartbeatMs: 1000, leaveMs: 2000 },
+    ...overrides,
   }, { log: pino({ level: 'silent' }), ports: createPlatformPorts(store.address) });
 }
 
@@ -117,7 +123,7 @@
   }));
   apps.forEach((app) => store.put('servers', app.id, app.row('app')));
   pool.forEach((engine) => store.put('servers', engine.id, engine.row('pool')));
-  const gateway = await startGateway(store);
+  const gateway = await startGateway(store, 'entry-1', options.gateway);
   const call = (more?: CallOptions) => callGateway(gateway.ports.front, more);
   await vi.waitFor(async () => {
     const { status } = await call({ path: '/open/warm' });
