Refuse chats by the message that crashes targets, in the own mode too

Now each message but the last is a part, on which the same decision is made from the records of all entries (a row an entry, polled as the fingerprints are): three targets are lost. Operators see and release part.ID beside the fingerprints; an agent gives each loss of its target an id, so that entries count it once.

--- a/packages/agent/src/stages/stage-table.ts
+++ b/packages/agent/src/stages/stage-table.ts
@@ -37,7 +37,7 @@
 export type StageEvent = 'accepted' | 'refused' | 'completed' | 'failed' | 'dropped' | 'cancelled' | 'adopted' | 'expired';
 
 /** Fields of a failure message besides its code. */
-type FailureDetails = Pick<Fail, 'node' | 'suspects'>;
+type FailureDetails = Pick<Fail, 'node' | 'suspects' | 'loss'>;
 
 export interface StageTable {
   offer(offer: Offer, reply: Stage['reply']): void;
@@ -74,6 +74,7 @@
   const stagesBySequence = new Map<string, Stage>();
   const newestFencedAttempts = new QuickLru<string, number>({ maxSize: maxFences });
   const keptOutputs = createKeptOutputs();
+  let engineLosses = 0;
 
   const load = (): Load => ({ active: stages.size, queued: 0, limit: deps.maxActive });
 
@@ -295,7 +296,10 @@
       }
     },
     onEngineLost() {
-      const details = { suspects: suspectStages().length };
+      engineLosses += 1;
+      const details = {
+        suspects: suspectStages().length, loss: `${deps.incarnation}.${engineLosses}`,
+      };
       [...stages.values()].forEach((stage) => fail(stage, 'target_lost', details));
     },
     onHopLost(node) {
--- a/packages/core/src/poison/part-quarantine.ts
+++ b/packages/core/src/poison/part-quarantine.ts
@@ -31,8 +31,8 @@
   findCrashing(parts: readonly string[]): string | undefined;
   /** Parts on which answers have begun here, of which other entries should learn. */
   unsharedBegun(): BegunPart[];
-  /** Number of parts that are refused. */
-  readonly size: number;
+  /** Parts that are refused. */
+  list(): SuspectPart[];
 }
 
 /** Parts whose last begun answer is remembered; the least recently begun ones are evicted. */
@@ -103,9 +103,9 @@
       return suspects.filter(isUnshared)
         .map(({ part }) => ({ part, at: begunHere.get(part)! }));
     },
-    get size() {
+    list() {
       refresh();
-      return crashing.size;
+      return [...crashing.values()];
     },
   };
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -146,6 +146,7 @@
     clock,
     random,
     platform,
+    entry: cfg.node,
     onQuarantined: (fingerprint) => log.warn({ fingerprint }, 'request quarantined'),
   });
   const admission = createEntryAdmission({
--- a/packages/entry/src/http/callers.ts
+++ b/packages/entry/src/http/callers.ts
@@ -12,7 +12,7 @@
 import type { ServiceCallSink, ServiceCallSpec } from '../requests/service-call.js';
 import { sendJson, sendRefusal } from './responses.js';
 import {
-  bearerKeyOf, createChatSink, parseChat, promptTokensOf,
+  bearerKeyOf, createChatSink, parseChat, promptTokensOf, sharedPartsOf,
 } from './chat.js';
 import { forwardedHeadersOf, methodOf, requestUrlOf } from './forward.js';
 import { createRequestMeter, createMeteredSink, type RequestMeter } from './request-meter.js';
@@ -121,6 +121,7 @@
         version: found.model.version,
         layers: found.model.layers,
         prompt,
+        parts: sharedPartsOf(chat),
         maxTokens,
         priority,
         deadline: clock.now() + deps.requestTimeoutMs,
--- a/packages/entry/src/http/chat.ts
+++ b/packages/entry/src/http/chat.ts
@@ -1,6 +1,8 @@
 /** POST /v1/chat/completions, answered as server-sent events or as one JSON object. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { ByteTokenizer, createRefusal, refusalBody } from '@verbenashunt/core';
+import {
+  ByteTokenizer, createRefusal, refusalBody, sha256,
+} from '@verbenashunt/core';
 import { validators, type ChatRequest } from '@verbenashunt/schema';
 import {
   openStream, parseJson, type StreamHead, type StreamWriter,
@@ -23,6 +25,16 @@
   messages.map(({ role, content }) => `${role}: ${content}\n`).join(''),
 );
 
+/** Length of the id of a part in hexadecimal digits: 64 bits. */
+const partIdLength = 16;
+
+/**
+ * Ids of the parts of the prompt that other requests may share: of each message but the last one,
+ * which is the request's own.
+ */
+export const sharedPartsOf = ({ model, messages }: ChatRequest) => messages.slice(0, -1)
+  .map(({ role, content }) => sha256(`${model}\n${role}: ${content}`).slice(0, partIdLength));
+
 const eventStreamHead: StreamHead = {
   status: 200,
   headers: { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' },
--- a/packages/entry/src/requests/generation-spec.ts
+++ b/packages/entry/src/requests/generation-spec.ts
@@ -13,6 +13,8 @@
   version: string;
   layers: number;
   prompt: number[];
+  /** Ids of the parts of the prompt that other requests may share, in order. */
+  parts: readonly string[];
   maxTokens: number;
   priority: number;
   /** Monotonic milliseconds. */
@@ -25,6 +27,18 @@
   refuse(refusal: Refusal): void;
 }
 
+/** Loss of a target that ran a part of a generation. */
+export interface TargetLoss {
+  /** Id of the loss, the same for all requests that ran on the target. */
+  id: string;
+  /** Whether no other suspect ran there. */
+  isAlone: boolean;
+  /** Whether the attempt has produced a token. */
+  hasBegun: boolean;
+  /** When the attempt was offered, on the entry's clock. */
+  sentAt: number;
+}
+
 /** How a generation continued after a failure: on the surviving stages or on a new chain. */
 export type RecoveryMethod = 'repair' | 'restart';
 
@@ -44,11 +58,10 @@
   agent(node: string): AgentPeer | undefined;
   /** Fences a request's attempts up to the given one at a node, which also releases them. */
   fence(node: string, req: string, attempt: number): void;
-  /**
-   * Records that the target at a node crashed while it ran the request. `alone`: no other suspect
-   * ran there. Returns whether the request may be retried.
-   */
-  recordCrash(spec: GenerationSpec, node: string, alone: boolean): boolean;
+  /** Records that a target crashed while it ran the request; whether it may be retried. */
+  recordCrash(spec: GenerationSpec, loss: TargetLoss): boolean;
+  /** Records that an attempt has produced its first token. */
+  recordBegun(spec: GenerationSpec): void;
   /** Whether the request was running on a target that crashed. */
   isSuspect(req: string): boolean;
   /** Records the nodes that run the request, so that other suspects can avoid them. */
--- a/packages/entry/src/requests/generation.ts
+++ b/packages/entry/src/requests/generation.ts
@@ -15,7 +15,7 @@
   type Attempt, type AttemptStage,
 } from './attempt.js';
 import type {
-  Generation, GenerationDeps, GenerationSink, GenerationSpec,
+  Generation, GenerationDeps, GenerationSink, GenerationSpec, TargetLoss,
 } from './generation-spec.js';
 import { createProgressWatch, type ProgressWatch } from './progress-watch.js';
 import { createStallDetector } from './stall-detector.js';
@@ -230,6 +230,7 @@
   }
 
   function deliver(value: number) {
+    if (delivered.length === attempt!.firstTokenIndex) deps.recordBegun(spec);
     lastTokenAt = deps.clock.now();
     delivered.push(value);
     sink.token(value);
@@ -308,10 +309,19 @@
     } else handleLostNodes([node]);
   }
 
+  function lossOf(node: string, { suspects = 0, loss }: Extract<Message, { t: 'fail' }>): TargetLoss {
+    const { startedAt, firstTokenIndex } = attempt!;
+    return {
+      id: `${node}.${loss ?? startedAt}`,
+      isAlone: suspects - (deps.isSuspect(req) ? 1 : 0) <= 0,
+      hasBegun: delivered.length > firstTokenIndex,
+      sentAt: startedAt,
+    };
+  }
+
   function onFail(node: string, message: Extract<Message, { t: 'fail' }>) {
     const targetCrashed = message.code === 'target_lost' && mayHaveRun;
-    const otherSuspects = (message.suspects ?? 0) - (deps.isSuspect(req) ? 1 : 0);
-    if (targetCrashed && !deps.recordCrash(spec, node, otherSuspects <= 0)) refuse('quarantined');
+    if (targetCrashed && !deps.recordCrash(spec, lossOf(node, message))) refuse('quarantined');
     else if (message.code === 'hop_lost' && message.node) onHopLost(message.node);
     else handleLostNodes([node]);
   }
--- a/packages/entry/src/requests/quarantine.ts
+++ b/packages/entry/src/requests/quarantine.ts
@@ -1,15 +1,19 @@
 /**
- * Quarantine of requests that crash targets. The entry that saw the crashes decides; the records
- * are kept in the table service, where every entry reads them.
+ * Quarantine of requests that crash targets, by their whole input or by a message that they share.
+ * Of a whole input the entry that saw the crashes decides; the records are kept in the table
+ * service, where every entry reads them.
  */
 import {
   ConflictError, createSuspectTracker, sha256, type Clock,
 } from '@verbenashunt/core';
 import { validators, type PoisonRecord } from '@verbenashunt/schema';
 import type { PlatformClient } from '@verbenashunt/wire';
-import type { GenerationDeps, GenerationSpec } from './generation-spec.js';
+import type { GenerationDeps, GenerationSpec, TargetLoss } from './generation-spec.js';
+import { createPartRecords } from './part-records.js';
 
 const table = 'poison';
+/** Prefix of the parts of prompts among the fingerprints that operators see. */
+const partPrefix = 'part.';
 const pollMs = 2000;
 /** Time for which a crash counts against a fingerprint. */
 const crashRetentionMs = 600_000;
@@ -29,7 +33,8 @@
   track(spec: GenerationSpec): void;
   untrack(req: string): void;
   /** Records a crash; returns whether the request may be retried. */
-  recordCrash(spec: GenerationSpec, alone: boolean): boolean;
+  recordCrash(spec: GenerationSpec, loss: TargetLoss): boolean;
+  recordBegun(spec: GenerationSpec): void;
   isSuspect(req: string): boolean;
   /** Nodes that run the request. */
   nodesOf(req: string): string[];
@@ -53,7 +58,9 @@
   clock: Clock;
   random: () => number;
   platform: PlatformClient;
-  /** Called when this entry quarantines a fingerprint. */
+  /** VM of this entry. */
+  entry: string;
+  /** Called when this entry quarantines a fingerprint or a part. */
   onQuarantined(fingerprint: string): void;
 }
 
@@ -65,6 +72,9 @@
 export function createQuarantine(deps: QuarantineDeps): Quarantine {
   const { clock, platform } = deps;
   const suspects = createSuspectTracker();
+  const parts = createPartRecords({
+    ...deps, onQuarantined: (part) => deps.onQuarantined(`${partPrefix}${part}`),
+  });
   let records = new Map<string, PoisonRecord>();
   /** Records that are not yet in the table. */
   const unwritten = new Map<string, PoisonRecord>();
@@ -82,6 +92,7 @@
       const found = new Map(rows.flatMap(({ key, value }) => parse(value)
         .map((record) => [key, record] as const)));
       records = new Map([...found, ...unwritten]);
+      await parts.read();
     } catch {
       // The known records stay in force until the table service is available again.
     }
@@ -127,10 +138,21 @@
   ]);
   const timestamp = () => new Date(clock.wall()).toISOString();
 
+  const hasQuarantinedPart = (spec: GenerationSpec) => parts.findCrashing(spec.parts) !== undefined;
+
+  function recordPartCrash(spec: GenerationSpec, loss: TargetLoss) {
+    if (loss.hasBegun || spec.parts.length === 0) return;
+    const ageMs = clock.now() - loss.sentAt;
+    const at = clock.wall();
+    parts.recordCrash({
+      target: loss.id, at, unbegun: [{ parts: spec.parts, sentAt: at - Math.round(ageMs) }],
+    });
+  }
+
   poll();
   return {
-    isQuarantined: (spec) => records.size > 0
-      && records.get(fingerprintOf(spec))?.state === 'quarantined',
+    isQuarantined: (spec) => hasQuarantinedPart(spec) || (records.size > 0
+      && records.get(fingerprintOf(spec))?.state === 'quarantined'),
     track(spec) {
       const fingerprint = fingerprintOf(spec);
       const previous = records.get(fingerprint);
@@ -142,10 +164,13 @@
       );
     },
     untrack: suspects.end,
-    recordCrash({ req, org, model }, alone) {
+    recordBegun: (spec) => parts.recordBegun(spec.parts),
+    recordCrash(spec, loss) {
+      const { req, org, model } = spec;
+      recordPartCrash(spec, loss);
       const fingerprint = suspects.fingerprintOf(req);
       if (!fingerprint) return true;
-      const verdict = suspects.recordCrash(req, alone);
+      const verdict = suspects.recordCrash(req, loss.isAlone);
       const crash: PoisonRecord = {
         state: verdict === 'quarantine' ? 'quarantined' : 'suspect',
         crashes: (records.get(fingerprint)?.crashes ?? 0) + 1,
@@ -157,7 +182,7 @@
       unwritten.set(fingerprint, crash);
       writeCrash(fingerprint, crash);
       if (verdict === 'quarantine') deps.onQuarantined(fingerprint);
-      return verdict === 'retry';
+      return verdict === 'retry' && !hasQuarantinedPart(spec);
     },
     isSuspect: suspects.isSuspect,
     nodesOf: suspects.nodesOf,
@@ -172,9 +197,17 @@
       spec,
       avoid,
     ) => suspects.nodesOfOtherSuspects(spec.req).size === 0 || !choose(spec, avoid),
-    list: () => [...records].filter(([, { state }]) => state !== 'released')
-      .map(([fingerprint, record]) => ({ fingerprint, ...record })),
+    list: () => [
+      ...[...records].filter(([, { state }]) => state !== 'released')
+        .map(([fingerprint, record]) => ({ fingerprint, ...record })),
+      ...parts.list().map(({ part, crashes }) => ({
+        fingerprint: `${partPrefix}${part}`, state: 'quarantined' as const, crashes, org: '', model: '', at: '',
+      })),
+    ],
     async release(fingerprint, operator) {
+      if (fingerprint.startsWith(partPrefix)) {
+        return parts.release(fingerprint.slice(partPrefix.length));
+      }
       if (!await platform.get(table, fingerprint)) return false;
       await update(fingerprint, (before) => ({
         org: '', model: '', ...before, state: 'released', crashes: 0, at: timestamp(), operator,
@@ -184,6 +217,7 @@
     close() {
       closed = true;
       cancelPoll();
+      parts.close();
     },
   };
 }
--- a/packages/gateway/src/store/crash-table.ts
+++ b/packages/gateway/src/store/crash-table.ts
@@ -186,7 +186,7 @@
       return isRead;
     },
     get crashingParts() {
-      return quarantine.size;
+      return quarantine.list().length;
     },
     isPoison: history.isPoison,
     findCrashingPart: quarantine.findCrashing,
--- a/test/decisions/entry-admission.test.ts
+++ b/test/decisions/entry-admission.test.ts
@@ -4,7 +4,7 @@
 import { createEntryAdmission, type GenerationSink, type GenerationSpec } from '@verbenashunt/entry';
 
 const spec = {
-  req: 'r1', org: 'org', cls: 'chat', model: 'm', version: 'v1', layers: 4, prompt: [1, 2], maxTokens: 8, priority: 5, deadline: 10_000,
+  req: 'r1', org: 'org', cls: 'chat', model: 'm', version: 'v1', layers: 4, prompt: [1, 2], parts: [], maxTokens: 8, priority: 5, deadline: 10_000,
 } satisfies GenerationSpec;
 
 function createTestAdmission(refusedStarts: number) {
--- a/test/requests/poison.test.ts
+++ b/test/requests/poison.test.ts
@@ -43,12 +43,17 @@
   expect(suspects.sharesNodeWithSuspect('innocent')).toBe(false);
 });
 
-const sendChat = (entry: string, content: string) => request(`${entry}/v1/chat/completions`, {
+const sendMessages = (
+  entry: string,
+  messages: { role: string; content: string }[],
+) => request(`${entry}/v1/chat/completions`, {
   method: 'POST',
   headers: { authorization: 'Bearer demo-key', 'content-type': 'application/json' },
-  body: JSON.stringify({ model: 'rankings', max_tokens: maxTokens, messages: [{ role: 'user', content }] }),
+  body: JSON.stringify({ model: 'rankings', max_tokens: maxTokens, messages }),
 });
 
+const sendChat = (entry: string, content: string) => sendMessages(entry, [{ role: 'user', content }]);
+
 const expectedOf = (content: string) => {
   const prompt = new ByteTokenizer().encode(`user: ${content}\n`);
   return Buffer.from(referenceAnswer(layers, prompt, maxTokens)).toString();
@@ -95,3 +100,39 @@
   expect(released).toMatchObject({ code: 0, stdout: 'released\n' });
   expect((await listQuarantine()).some((found) => found.fingerprint === fingerprint)).toBe(false);
 });
+
+test('requests that share a crashing message are refused by every entry', async () => {
+  cluster = await startCluster({
+    model: 'rankings',
+    layers,
+    fleet: 'armor-rankings',
+    engines: [...engines, ...engines.slice(0, 2)],
+    services: 0,
+    entries: 2,
+    declarations: fileURLToPath(new URL('../fixtures/requests/poison-messages', import.meta.url)),
+  });
+  const { entries, targets } = cluster;
+  const crashOnTokens = [...new TextEncoder().encode('POISON')];
+  await Promise.all([...targets.values()]
+    .map((url) => cluster!.setFaults(url, { crashOnTokens })));
+  const send = async (i: number, system: string) => {
+    const { statusCode, body } = await sendMessages(entries[i % 2]!, [
+      { role: 'system', content: system }, { role: 'user', content: `Who won race ${i}?` },
+    ]);
+    await body.dump();
+    return statusCode;
+  };
+  // A request crashes at most two targets, and its own fingerprint is refused after that.
+  await send(0, 'POISON');
+  await send(2, 'POISON');
+  const operator = ['--entry', entries[1]!, '--key', operatorKey];
+  await waitFor('the other entry to refuse the message', async () => {
+    const { stdout } = await runCommand(['quarantine', ...operator]);
+    return /^part\.\S+ {2}quarantined/m.test(stdout);
+  });
+  const answers = [await send(3, 'POISON'), await send(4, 'POISON'), await send(5, 'Be brief.')];
+  expect(answers).toEqual([422, 422, 200]);
+  const alive = await Promise.all([...targets.values()]
+    .map((url) => request(`${url}/status`).then(() => true, () => false)));
+  expect(alive.filter(Boolean)).toHaveLength(6 - 3);
+});
--- a/test/usage/usage.test.ts
+++ b/test/usage/usage.test.ts
@@ -131,7 +131,7 @@
   const records: UsageRecord[] = [];
   const meter = createUsageMeter(new ManualClock(), (usageRecord) => records.push(usageRecord));
   const spec = {
-    req: 'r1', org: 'club-rennes', cls: 'chat', model: 'rankings', version: 'v1', layers: 1, prompt: [1, 2], maxTokens: 9, priority: 5, deadline: 0,
+    req: 'r1', org: 'club-rennes', cls: 'chat', model: 'rankings', version: 'v1', layers: 1, prompt: [1, 2], parts: [], maxTokens: 9, priority: 5, deadline: 0,
   };
   const sink = { token: () => {}, end: () => {}, refuse: () => {} };
   const run = {
