--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -10,4 +10,5 @@
 export * from './retry-decision.js';
 export * from './retry-window.js';
 export * from './target-pauses.js';
+export * from './target-rate-limits.js';
 export * from './targets.js';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -224,6 +224,8 @@
       async answer() {
         config.view?.config.services.forEach(({ name }) => metrics.targets
           .set({ service: name }, targets.ofService(name).length));
+        metrics.limitedTargets.set(targets.all
+          .filter((target) => tracking.rateLimits.limitOf(target) !== undefined).length);
         metrics.crashingParts.set(tracking.crashTable.crashingParts);
         return {
           status: 200, type: metrics.registry.contentType, body: await metrics.registry.metrics(),
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -53,6 +53,9 @@
   const crashingParts = new Gauge({
     name: 'verbenashunt_gateway_crashing_parts', help: 'Parts of prompts that crash targets; requests with them are refused.', registers,
   });
+  const limitedTargets = new Gauge({
+    name: 'verbenashunt_gateway_limited_targets', help: 'Targets that limit the rate of their requests.', registers,
+  });
   const organisations = new Set<string>();
 
   function labelOf(organisation: string | undefined): string {
@@ -66,6 +69,7 @@
     config,
     targets,
     crashingParts,
+    limitedTargets,
     /** Counts a header that was ignored because its value is invalid. */
     invalidHeader: (header: string) => invalidHeaders.inc({ header }),
     /** Counts a crash of a target that this entry saw itself, or read of in another's row. */
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -136,6 +136,8 @@
   isLeaving: boolean;
   /** Milliseconds for which the target wants no more requests from this entry; 0 for none. */
   pauseMs: number;
+  /** Requests per second that the target takes from all entries; undefined if it states none. */
+  limitPerS: number | undefined;
 }
 
 /** Load and state that a target reports. */
--- a/packages/gateway/src/targets/target-exchanger.ts
+++ b/packages/gateway/src/targets/target-exchanger.ts
@@ -3,7 +3,9 @@
  * response, that it is leaving or wants a pause, and sends nothing to a target that wants a pause.
  */
 import type { Logger } from 'pino';
-import { TargetPausedError, type TargetPauses, type TargetTable } from '@verbenashunt/core';
+import {
+  TargetPausedError, type TargetPauses, type TargetRateLimits, type TargetTable,
+} from '@verbenashunt/core';
 import type {
   Exchange, ExchangeHandler, Exchanger, ExchangeOptions, OutgoingRequest,
 } from '@verbenashunt/wire';
@@ -15,6 +17,7 @@
   protocol: Pick<TargetProtocol, 'head'>;
   targets: TargetTable;
   pauses: TargetPauses;
+  rateLimits: TargetRateLimits;
 }
 
 /** Fails an exchange without sending anything, after the caller has received its handle. */
@@ -33,14 +36,17 @@
 
 export function createTargetExchanger(deps: TargetExchangerDeps): Exchanger {
   const {
-    log, exchanger, protocol, targets, pauses,
+    log, exchanger, protocol, targets, pauses, rateLimits,
   } = deps;
 
   /** Reads the announcements of the target at an address. */
   function recordHead(address: string, ...head: Parameters<TargetProtocol['head']>) {
-    const { isLeaving, pauseMs } = protocol.head(...head);
-    const target = isLeaving || pauseMs > 0 ? targets.byAddress(address) : undefined;
+    const { isLeaving, pauseMs, limitPerS } = protocol.head(...head);
+    const target = targets.byAddress(address);
     if (!target) return;
+    if (rateLimits.record(target, limitPerS)) {
+      log.info({ target: target.id, address, limitPerS }, 'target changed its rate limit');
+    }
     if (isLeaving && targets.markDraining(target.id)) {
       log.info({ target: target.id, address }, 'target says that it is leaving');
     }
--- a/packages/gateway/src/targets/target-tracking.ts
+++ b/packages/gateway/src/targets/target-tracking.ts
@@ -4,9 +4,9 @@
  */
 import type { Logger } from 'pino';
 import {
-  createTargetPauses, createTargetTable, incarnationOf, sameRange,
+  createTargetPauses, createTargetRateLimits, createTargetTable, incarnationOf, sameRange,
   type Clock, type HeldRange, type LapseGraceOptions, type ServingConfigHolder,
-  type ServingTarget, type TargetPauses, type TargetTable,
+  type ServingTarget, type TargetPauses, type TargetRateLimits, type TargetTable,
 } from '@verbenashunt/core';
 import { acceptsConnection, createExchanger, type Exchanger } from '@verbenashunt/wire';
 import type { RowStore, StoredRow, TargetProtocol } from '../ports.js';
@@ -45,6 +45,7 @@
 export interface TargetTracking {
   targets: TargetTable;
   pauses: TargetPauses;
+  rateLimits: TargetRateLimits;
   /** For all requests to targets. */
   exchanger: Exchanger;
   selector: Selector;
@@ -79,12 +80,14 @@
   } = deps;
   const targets = createTargetTable();
   const pauses = createTargetPauses(clock);
+  const rateLimits = createTargetRateLimits();
   const exchanger = createTargetExchanger({
     log,
     exchanger: createExchanger({ connectTimeoutMs, keepAliveMs: idleReuseMs }),
     protocol,
     targets,
     pauses,
+    rateLimits,
   });
   const isReachable = ({ address }: ServingTarget) => acceptsConnection(
     address,
@@ -176,6 +179,7 @@
   return {
     targets,
     pauses,
+    rateLimits,
     exchanger,
     selector,
     loadMonitor,
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -97,6 +97,7 @@
   }],
   ['a target that is leaving', 200, { 'server-leaving': '1' }, { isLeaving: true }],
   ['a refusal with a pause', 503, { 'not-executed': '1', 'retry-after': '2.5' }, { notRun: true, pauseMs: 2500 }],
+  ['a limit of the rate of requests', 200, { 'server-limit': '2.75' }, { limitPerS: 2.75 }],
   ['a delay for the caller, not for this entry', 429, { 'retry-after': '2' }, { pauseMs: 0 }],
 ])('decodes the head of a response: %s', (_, status, headers, expected) => {
   expect(targets.head(status, headers)).toMatchObject(expected);
@@ -104,13 +105,16 @@
 
 test.each([
   ['server-leaving', '0'], ['server-leaving', 'true'], ['server-leaving', ''],
+  ['server-limit', '-1'], ['server-limit', 'none'], ['server-limit', ''],
   ['retry-after', '-1'], ['retry-after', 'Fri, 04 Dec 2026 08:00:00 GMT'], ['retry-after', '1e9'],
 ])('ignores and reports an invalid header: %s: %s', (name, value) => {
   const invalid: string[] = [];
   const { targets: protocol } = createPlatformPorts('127.0.0.1:1', {
     onInvalidHeader: (...header) => invalid.push(header.join('=')),
   });
-  expect(protocol.head(503, { [name]: value })).toMatchObject({ isLeaving: false, pauseMs: 0 });
+  expect(protocol.head(503, { [name]: value })).toMatchObject({
+    isLeaving: false, pauseMs: 0, limitPerS: undefined,
+  });
   expect(invalid).toEqual([`${name}=${value}`]);
 });
 
