Keep all entries together within the rate limit that a target names

What users saw: a target in need that named a limit of 2.8 requests a second got 24 in 4 s (22 allowed), one of 1.3 got 13, though no entry by itself sent more.

Change: an answer's limit makes every send to that target need a token: first attempts, retries, resumed streams, polls, orders. One entry of the target's zone, chosen by rendezvous hashing, keeps its bucket for all; the others ask it. An entry that is asked and knows a better keeper passes the question on, the next one steps in when the keeper does not answer, and entries announce themselves at their start, so that there is one bucket even where they know of different entries. A target at its limit is left out as a first stage until the bucket has a token; polls use a tenth of the limit at most; a request that no target takes is refused as not run.

--- a/packages/core/src/errors/errors.ts
+++ b/packages/core/src/errors/errors.ts
@@ -37,6 +37,13 @@
 /** The target asked this entry to pause, so nothing was sent to it. */
 export const TargetPausedError = BaseError.subclass('TargetPausedError', withCode('target_paused'));
 
+/** The target limits its rate and takes no further request now, so nothing was sent to it. */
+export const TargetLimitedError = BaseError.subclass('TargetLimitedError', withCode('target_limited'));
+
+/** Whether nothing was sent as the target wants no requests now; tells nothing of its health. */
+export const isHeldBack = (err: unknown) => err instanceof TargetPausedError
+  || err instanceof TargetLimitedError;
+
 /** Details of a refusal that are sent to the caller. */
 export interface RefusalProps {
   code: RefusalCode;
--- a/packages/core/src/limits/token-bucket.ts
+++ b/packages/core/src/limits/token-bucket.ts
@@ -3,20 +3,25 @@
 export interface TokenBucket {
   /** Takes one token and returns 0, or returns the milliseconds until one is available. */
   take(now: number): number;
-  /** Sets the rate in tokens per second from `now` on; the bucket size stays the same. */
-  setRate(rate: number, now: number): void;
+  /** Sets the rate in tokens per second, and the size of the bucket if given, from `now` on. */
+  setRate(rate: number, now: number, burst?: number): void;
 }
 
 const millisecondsPerSecond = 1000;
 
-/** Creates a full bucket of `burst` tokens; `initialRate` is in tokens per second. */
+/**
+ * Creates a bucket for up to `initialBurst` tokens, full unless `initialTokens` is given;
+ * `initialRate` is in tokens per second.
+ */
 export function createTokenBucket(
   initialRate: number,
-  burst: number,
+  initialBurst: number,
   startTime: number,
+  initialTokens = initialBurst,
 ): TokenBucket {
   let rate = initialRate;
-  let tokens = burst;
+  let burst = initialBurst;
+  let tokens = initialTokens;
   let refilledAt = startTime;
 
   function refill(now: number) {
@@ -33,9 +38,11 @@
       }
       return Math.ceil(((1 - tokens) * millisecondsPerSecond) / rate);
     },
-    setRate(newRate, now) {
+    setRate(newRate, now, newBurst = burst) {
       refill(now);
       rate = newRate;
+      burst = newBurst;
+      tokens = Math.min(burst, tokens);
     },
   };
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -105,9 +105,15 @@
     events.emit('config', version);
   });
   const {
-    lease, store, announcements, close: closeStore,
+    lease, store, announcements, entryExchanger, close: closeStore,
   } = await createStoreAccess(cfg, {
-    clock, random, log, store: ports.store, changeBoundMs: () => options.changeBoundMs,
+    clock,
+    random,
+    log,
+    store: ports.store,
+    changeBoundMs: () => options.changeBoundMs,
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- each refers to the other
+    takeToken: (...args) => tracking.rateLimiter.takeForOther(...args),
   });
 
   /** Decodes a row; logs a row that is invalid and returns undefined. */
@@ -126,6 +132,7 @@
     log,
     store,
     announcements,
+    entryExchanger,
     lease,
     config,
     protocol: ports.targets,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -20,5 +20,6 @@
 export * from './requests/request-log.js';
 export * from './routing/load-monitor.js';
 export * from './routing/selector.js';
+export * from './targets/rate-limiter.js';
 export * from './targets/target-exchanger.js';
 export type * from './requests/spec.js';
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -19,6 +19,8 @@
   /** Records the outcome of the request at its end. */
   requestEnded(outcome: string): void;
   attemptFailed(end: AttemptEnd): void;
+  /** Records that nothing was sent to the chosen target, as it wants no requests now. */
+  attemptHeldBack(): void;
   /** Records that the answer's first byte was sent `ms` milliseconds after the request arrived. */
   firstByteSent(ms: number): void;
 }
@@ -35,6 +37,9 @@
   const attempts = new Counter({
     name: 'verbenashunt_gateway_failed_attempts_total', help: 'Attempts at targets without an answer, by how they ended.', labelNames: ['end'], registers,
   });
+  const heldBack = new Counter({
+    name: 'verbenashunt_gateway_held_back_attempts_total', help: 'Attempts that were not sent, as the chosen target wanted a pause or was at its rate limit.', registers,
+  });
   const firstByte = new Histogram({
     name: 'verbenashunt_gateway_first_byte_seconds', help: 'Time from a request to the first byte of its answer.', labelNames: ['kind'], buckets: firstByteBuckets, registers,
   });
@@ -85,6 +90,7 @@
           byOrganisation.inc({ organisation: labelOf(organisation), outcome });
         },
         attemptFailed: (end) => attempts.inc({ end }),
+        attemptHeldBack: () => heldBack.inc(),
         firstByteSent: (ms) => firstByte.observe({ kind }, ms / millisecondsPerSecond),
       };
     },
--- a/packages/gateway/src/relay/relay-server.ts
+++ b/packages/gateway/src/relay/relay-server.ts
@@ -1,6 +1,6 @@
 /**
- * HTTP server for other entries, on which they follow tables of the store through this entry and
- * announce rows of their own.
+ * HTTP server for other entries, on which they follow tables of the store through this entry,
+ * announce rows of their own and take tokens of the buckets that this entry keeps.
  */
 import type { AddressInfo } from 'node:net';
 import restana from 'restana';
@@ -8,6 +8,7 @@
 import { announcementPath, type AnnouncedRow } from './announcements.js';
 import type { Address } from '../http/server.js';
 import { encodeChanges } from './encoding.js';
+import { tokenPath, type RateLimiter } from '../targets/rate-limiter.js';
 import type { TableLog } from './table-log.js';
 
 /** Path under which each table has its changes. */
@@ -32,11 +33,13 @@
   logOf(table: string): TableLog | undefined;
   /** Called with a row that another entry announces. */
   onAnnouncement(row: AnnouncedRow): void;
+  /** See `RateLimiter.takeForOther`. */
+  takeToken: RateLimiter['takeForOther'];
 }
 
 export async function serveRelay(
   { host, port }: Address,
-  { logOf, onAnnouncement }: RelayServerDeps,
+  { logOf, onAnnouncement, takeToken }: RelayServerDeps,
 ): Promise<RelayServer> {
   const app = restana();
   const readBody = createBodyReader({ maxBufferedBytes });
@@ -61,6 +64,16 @@
     res.statusCode = statusNoContent;
     res.end();
   });
+  app.post(`${tokenPath}/:target`, async (req, res) => {
+    const query = new URL(req.url!, 'http://relay').searchParams;
+    const waitMs = await takeToken({
+      target: decodeURIComponent(req.params.target!),
+      zone: query.get('zone') ?? '',
+      limitPerS: Number(query.get('limit')) || 0,
+    }, query.has('final'));
+    res.statusCode = statusOk;
+    res.end(String(waitMs));
+  });
   const server = await app.start(port, host);
   return {
     port: (server.address() as AddressInfo).port,
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -1,6 +1,8 @@
 /** Sends one attempt of a request to a target and classifies the outcome. */
 import type { IncomingHttpHeaders } from 'node:http';
-import { createEventSplitter, type AttemptEnd, type StreamEvent } from '@verbenashunt/core';
+import {
+  createEventSplitter, isHeldBack, type AttemptEnd, type StreamEvent,
+} from '@verbenashunt/core';
 import type { Exchange, Exchanger } from '@verbenashunt/wire';
 import type { AttemptRequest, TargetProtocol } from '../ports.js';
 import type { WholeAnswer } from './spec.js';
@@ -22,6 +24,8 @@
   end: AttemptEnd;
   /** Whether the connection was lost before the answer was complete. */
   isConnectionLost: boolean;
+  /** Whether nothing was sent as the target wants no requests now. */
+  isHeldBack: boolean;
   /** Address of the target at fault, if the answer names one. */
   blamed: string | undefined;
   /** Error answer of the target, if it arrived completely. */
@@ -80,6 +84,7 @@
       end: attemptEnd,
       reason,
       isConnectionLost: false,
+      isHeldBack: false,
       blamed: undefined,
       answer: undefined,
       ...details,
@@ -134,7 +139,7 @@
       else endWholeAnswer(isFramed);
     },
     failed(err, isSent) {
-      if (!isSent) fail('unsent', err.message);
+      if (!isSent) fail('unsent', err.message, { isHeldBack: isHeldBack(err) });
       else fail(head ? 'broken' : 'unknown', err.message, { isConnectionLost: true });
     },
   }, { dedicatedConnection: options.dedicatedConnection });
--- a/packages/gateway/src/requests/crash-watch.ts
+++ b/packages/gateway/src/requests/crash-watch.ts
@@ -5,7 +5,7 @@
 import { createHash } from 'node:crypto';
 import type { Logger } from 'pino';
 import {
-  errorFields, incarnationOf, TargetError, type Clock, type ServingTarget,
+  errorFields, incarnationOf, isHeldBack, TargetError, type Clock, type ServingTarget,
 } from '@verbenashunt/core';
 import { requestReport, type ReportDeps } from '../routing/report.js';
 import type { CrashTable } from '../store/crash-table.js';
@@ -15,6 +15,8 @@
   clock: Clock;
   log: Logger;
   crashTable: CrashTable;
+  /** Whether a target accepts a connection. */
+  isReachable(target: ServingTarget): Promise<boolean>;
   /** Counts a crash that this entry has seen. */
   crashSeen(by: 'self'): void;
 }
@@ -105,12 +107,22 @@
     }, 'target crashed with requests');
   }
 
-  async function checkCrashed(target: ServingTarget, { since, lost, onChecked }: PendingCheck) {
+  /** Resolves to the error by which a target shows that it has crashed; undefined if it lives. */
+  async function findCrash(target: ServingTarget): Promise<unknown> {
     try {
       await requestReport(deps, target, reportTimeoutMs);
+      return undefined;
     } catch (err) {
       // Any answer, even an invalid report, shows that the target is alive.
-      if (!(err instanceof TargetError)) return;
+      if (err instanceof TargetError) return err;
+      return isHeldBack(err) && !await deps.isReachable(target) ? err : undefined;
+    }
+  }
+
+  async function checkCrashed(target: ServingTarget, { since, lost, onChecked }: PendingCheck) {
+    const err = await findCrash(target);
+    pendingChecks.delete(target.id);
+    if (err !== undefined) {
       logCrash(target, lost, err);
       deps.crashSeen('self');
       crashTable.recordCrash({
@@ -119,10 +131,8 @@
         at: since,
         unbegun: unbegunOf(lost),
       });
-    } finally {
-      pendingChecks.delete(target.id);
-      onChecked.forEach((callback) => callback());
     }
+    onChecked.forEach((callback) => callback());
   }
 
   return {
--- a/packages/gateway/src/requests/delivery.ts
+++ b/packages/gateway/src/requests/delivery.ts
@@ -16,7 +16,7 @@
   clock: Clock;
   random: () => number;
   log: RequestLog;
-  selector: Pick<Selector, 'allPausedMs'>;
+  selector: Pick<Selector, 'allClosedMs'>;
 }
 
 /** What served the request: the targets of the last attempt, and the number of attempts. */
@@ -117,8 +117,8 @@
         route: spec.route.name,
         version: spec.version,
       }, 'request refused');
-      const pausedMs = deps.selector.allPausedMs(spec.service.name);
-      const retryAfterMs = jitteredRetryAfterMs(deps.random(), pausedMs);
+      const closedMs = deps.selector.allClosedMs(spec.service.name);
+      const retryAfterMs = jitteredRetryAfterMs(deps.random(), closedMs);
       sink.refuse(createRefusal(code, { ran, ...(ran === 'no' ? { retryAfterMs } : {}) }));
     },
   };
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -56,6 +56,8 @@
   /** Progress of the current attempt; undefined for a call that is not a stream. */
   let progress: StreamProgress | undefined;
 
+  /** Whether the next attempt was taken from the retry budget and has not been sent yet. */
+  let isRetryPaid = false;
   /** When the current attempt was sent. */
   let sentAt = spec.arrivedAt;
 
@@ -109,11 +111,17 @@
     return true;
   }
 
+  /** Takes a retry from the budget unless one is left over; false if there is none. */
+  function payRetry(): boolean {
+    isRetryPaid ||= deps.retries.withdraw(retryState.delivered);
+    return isRetryPaid;
+  }
+
   /** Chooses where to retry; undefined when no time, target or retry budget is left. */
   function chooseRetry(attemptEnd: AttemptEnd): Choice | undefined {
     const next = timeLeftMs() < minAttemptTimeMs ? undefined : selector.choose(spec, avoid);
     // After `unsent` no target received the request, so the retry adds no load and is free.
-    return next && (attemptEnd === 'unsent' || deps.retries.withdraw(false)) ? next : undefined;
+    return next && (attemptEnd === 'unsent' || payRetry()) ? next : undefined;
   }
 
   /** Ends the request early; `code` is the refusal if it can't have run. */
@@ -143,6 +151,13 @@
   function failed(failure: AttemptFailure) {
     endAttempt();
     attempt = undefined;
+    if (failure.isHeldBack) {
+      deps.attemptHeldBack();
+      avoid.add(choice!.target.id);
+      retryOrFinish(failure);
+      return;
+    }
+    isRetryPaid = false;
     const { end: attemptEnd, reason, blamed } = failure;
     deps.attemptFailed(attemptEnd);
     log.info({
@@ -172,7 +187,7 @@
         avoid.clear();
         next = selector.choose(spec, avoid);
       }
-      if (next && deps.retries.withdraw(true)) runAttempt(next);
+      if (next && payRetry()) runAttempt(next);
       else {
         deps.resumeQueue.refused();
         resumeLater();
@@ -203,7 +218,12 @@
   function abandon(reason: string, blamed?: string, attemptEnd: AttemptEnd = 'unknown') {
     if (isOver || !attempt) return;
     failed({
-      end: attemptEnd, reason, isConnectionLost: false, blamed, answer: undefined,
+      end: attemptEnd,
+      reason,
+      isConnectionLost: false,
+      isHeldBack: false,
+      blamed,
+      answer: undefined,
     });
   }
 
@@ -308,7 +328,9 @@
   function runFirstAttempt() {
     const first = selector.choose(spec, avoid);
     if (!first) {
-      giveUp(spec.service.engine ? 'no_chain' : 'no_target', 'no target');
+      const areClosed = selector.allClosedMs(spec.service.name) > 0;
+      if (areClosed) giveUp('overloaded', 'no target takes a request now');
+      else giveUp(spec.service.engine ? 'no_chain' : 'no_target', 'no target');
       return;
     }
     const onTime = chooseOnTime(spec, first, deps);
--- a/packages/gateway/src/requests/stall-watch.ts
+++ b/packages/gateway/src/requests/stall-watch.ts
@@ -5,7 +5,7 @@
  */
 import type { Logger } from 'pino';
 import {
-  errorFields, type Clock, type ServingTarget, type TargetPauses,
+  errorFields, isHeldBack, type Clock, type ServingTarget, type TargetPauses,
 } from '@verbenashunt/core';
 import { requestReport, type ReportDeps } from '../routing/report.js';
 
@@ -82,6 +82,7 @@
   }
 
   function recordMissedReport(target: ServingTarget, state: AskState, err: unknown) {
+    if (isHeldBack(err)) return;
     const misses = state.misses + 1;
     log.info({
       target: target.id, misses, ...errorFields(err),
--- a/packages/gateway/src/routing/admission.ts
+++ b/packages/gateway/src/routing/admission.ts
@@ -19,11 +19,11 @@
 const retryAfterSpreadMs = 2000;
 
 /**
- * Delay in milliseconds before a refused caller retries, at least `pausedMs`, for which no target
+ * Delay in milliseconds before a refused caller retries, at least `closedMs`, for which no target
  * accepts requests. `share` is a random number in [0, 1).
  */
-export const jitteredRetryAfterMs = (share: number, pausedMs = 0) => Math
-  .round(Math.max(minRetryAfterMs, pausedMs) + retryAfterSpreadMs * share);
+export const jitteredRetryAfterMs = (share: number, closedMs = 0) => Math
+  .round(Math.max(minRetryAfterMs, closedMs) + retryAfterSpreadMs * share);
 
 /**
  * Returns `first` if its first target serves streams on time or the service has no engine; else
--- a/packages/gateway/src/routing/load-monitor.ts
+++ b/packages/gateway/src/routing/load-monitor.ts
@@ -5,7 +5,8 @@
  */
 import type { Logger } from 'pino';
 import {
-  correctedActive, errorFields, type Clock, type HeldRange, type ServingTarget, type TargetPauses,
+  correctedActive, errorFields, isHeldBack,
+  type Clock, type HeldRange, type ServingTarget, type TargetPauses, type TargetRateLimits,
 } from '@verbenashunt/core';
 import { requestReport, type ReportDeps } from './report.js';
 
@@ -15,6 +16,9 @@
   /** Engines to poll now. */
   engines(): readonly ServingTarget[];
   pauses: TargetPauses;
+  rateLimits: Pick<TargetRateLimits, 'limitOf'>;
+  /** Number of entries that poll the engines of a zone. */
+  keeperCount(zone: string): number;
   /** Tokens of this entry's requests in flight at a target. */
   ownTokens(id: string): number;
   /** Called with the layers that a target reports to hold. */
@@ -39,6 +43,11 @@
 
 /** Interval between polls of one target in milliseconds. */
 const pollIntervalMs = 2000;
+/** Share of the requests that a target with a rate limit takes which all polls may use together. */
+const maxPollShare = 0.1;
+/** Longest interval between polls of a target with a rate limit, in milliseconds. */
+const maxPollIntervalMs = 30_000;
+const millisecondsPerSecond = 1000;
 /** Delay before the next poll after one without an answer, in milliseconds. */
 const retryIntervalMs = 150;
 /** Interval between polls of a dead target in milliseconds. */
@@ -87,6 +96,15 @@
     return created;
   }
 
+  /** Interval between this entry's polls of a target, which all entries of its zone poll too. */
+  function pollIntervalOf(target: ServingTarget): number {
+    const limitPerS = deps.rateLimits.limitOf(target);
+    if (limitPerS === undefined) return pollIntervalMs;
+    const limitedMs = (deps.keeperCount(target.zone) * millisecondsPerSecond)
+      / (maxPollShare * limitPerS);
+    return Math.min(maxPollIntervalMs, Math.max(pollIntervalMs, limitedMs));
+  }
+
   async function poll(target: ServingTarget, state: TargetLoad) {
     const ownAtReport = ownTokens(target.id);
     const {
@@ -103,11 +121,15 @@
       ownAtReport,
       kvUsage: kvTotal > 0 ? kvUsed / kvTotal : 0,
       reportedTokens: held ? kvUsed / (held.hi - held.lo) : 0,
-      dueAt: clock.now() + pollIntervalMs,
+      dueAt: clock.now() + pollIntervalOf(target),
     });
   }
 
   function recordMiss(target: ServingTarget, state: TargetLoad, err: unknown) {
+    if (isHeldBack(err)) {
+      Object.assign(state, { dueAt: clock.now() + pollIntervalOf(target) });
+      return;
+    }
     const misses = state.misses + 1;
     const waitMs = misses < maxMisses ? retryIntervalMs : deadPollIntervalMs;
     Object.assign(state, { misses, dueAt: clock.now() + waitMs });
--- a/packages/gateway/src/routing/selector.ts
+++ b/packages/gateway/src/routing/selector.ts
@@ -2,7 +2,7 @@
 import {
   chooseService, chooseServingChain, createTargetHealth, kvTokensOf,
   type ChainStage, type Clock, type ServingService, type ServingTarget, type TargetPauses,
-  type TargetTable,
+  type TargetRateLimits, type TargetTable,
 } from '@verbenashunt/core';
 import type { ChainPart } from '../ports.js';
 import type { RequestSpec } from '../requests/spec.js';
@@ -24,6 +24,7 @@
   zone: string;
   targets: TargetTable;
   pauses: TargetPauses;
+  rateLimits: Pick<TargetRateLimits, 'heldMs'>;
   /** Number of entries; each is assumed to send as many requests as this one. */
   entryCount(): number;
   /** A function, since the monitor itself needs the selector's `ownTokens` and is created later. */
@@ -35,7 +36,7 @@
 
 export function createSelector(deps: SelectorDeps) {
   const {
-    clock, targets, pauses, zone,
+    clock, targets, pauses, rateLimits, zone,
   } = deps;
   const health = createTargetHealth(clock);
   /** This entry's requests in flight, by target id. */
@@ -52,8 +53,15 @@
   const servingTargets = (service: string) => targets.ofService(service)
     .filter(({ draining }) => !draining);
 
+  /** Whether requests are sent to the target itself, not only to others that pass them on to it. */
+  const isFirstStage = ({ held }: ServingTarget) => held === undefined || held.lo === 0;
+
+  /** Milliseconds until the target accepts a request that is sent to it; 0 if it does now. */
+  const closedMs = (target: ServingTarget) => Math
+    .max(pauses.remainingMs(target), isFirstStage(target) ? rateLimits.heldMs(target) : 0);
+
   const availableTargets = (service: string, avoid: ReadonlySet<string>) => servingTargets(service)
-    .filter((target) => !avoid.has(target.id) && !pauses.isPaused(target));
+    .filter((target) => !avoid.has(target.id) && closedMs(target) === 0);
 
   /** Available targets that are not suspect; all available ones if every one is suspect. */
   function preferredTargets(service: string, avoid: ReadonlySet<string>): ServingTarget[] {
@@ -117,7 +125,7 @@
     avoid: ReadonlySet<string>,
   ): Choice | undefined {
     const [first] = chain ?? [];
-    if (!first || pauses.isPaused(target)) return undefined;
+    if (!first || closedMs(target) > 0) return undefined;
     const { lo, hi } = first;
     const rest = chooseStages(spec, new Set([...avoid, target.id]), hi, target.zone);
     return rest && toChoice([{ node: target.id, lo, hi }, ...rest]);
@@ -130,11 +138,11 @@
     reroute,
     /**
      * Milliseconds until the first target of a service accepts requests again, if all of them want
-     * a pause; else 0.
+     * a pause or are at their limit; else 0.
      */
-    allPausedMs(service: string): number {
-      const pausesMs = servingTargets(service).map(pauses.remainingMs);
-      return pausesMs.length > 0 ? Math.min(...pausesMs) : 0;
+    allClosedMs(service: string): number {
+      const waitsMs = servingTargets(service).filter(isFirstStage).map(closedMs);
+      return waitsMs.length > 0 ? Math.min(...waitsMs) : 0;
     },
     /** Whether every target of a choice has enough free KV memory for the request. */
     hasFreeKvMemory: ({ service: { engine }, size }: RequestSpec, { parts }: Choice) => parts
--- a/packages/gateway/src/store/entry-rows.ts
+++ b/packages/gateway/src/store/entry-rows.ts
@@ -47,7 +47,7 @@
  * returned, with its name alone, and the error is passed to `onInvalidRow`.
  */
 export function decodeEntries(
-  rows: readonly StoredRow[],
+  rows: readonly Pick<StoredRow, 'key' | 'value'>[],
   onInvalidRow: (key: string, err: unknown) => void,
 ): EntryRecord[] {
   return rows.filter(({ key }) => key.startsWith(keyPrefix)).flatMap(({ key, value }) => {
@@ -77,6 +77,8 @@
   readonly all: readonly EntryRecord[];
   /** Replaces the entries by those of a read of all rows. */
   update(entries: readonly EntryRecord[]): void;
+  /** Records what an entry announces of itself. */
+  put(entry: EntryRecord): void;
   /** Records that the store was restored from an older copy, which may lack rows of entries. */
   storeRestored(): void;
 }
@@ -101,6 +103,9 @@
       const kept = clock.now() < keepUntil ? all.filter(({ node }) => !nodes.has(node)) : [];
       all = [...entries, ...kept];
     },
+    put(entry) {
+      all = [...all.filter(({ node }) => node !== entry.node), entry];
+    },
     storeRestored() {
       keepUntil = clock.now() + rewriteMs;
     },
--- a/packages/gateway/src/store/lease-keeper.ts
+++ b/packages/gateway/src/store/lease-keeper.ts
@@ -9,6 +9,7 @@
   PlatformError, type Clock, type LeaseRecord,
 } from '@verbenashunt/core';
 import type { RowStore, StoredRow, StoreState } from '../ports.js';
+import type { Announcements } from '../relay/announcements.js';
 import {
   createEntryList, decodeEntries, entryKey, expectedBackAt, nextEntryMs, type EntryRecord,
   type RelayAddress,
@@ -39,6 +40,7 @@
   random: () => number;
   log: Logger;
   store: RowStore;
+  announcements: Pick<Announcements, 'send' | 'onRow'>;
   node: string;
   /** How other entries follow the store through this one; undefined if they don't. */
   relay?: RelayAddress;
@@ -98,7 +100,7 @@
 
 export function createLeaseKeeper(deps: LeaseKeeperDeps): LeaseKeeper {
   const {
-    clock, random, log, store, node, relay,
+    clock, random, log, store, announcements, node, relay,
   } = deps;
   const startedAt = clock.now();
   const entries = createEntryList(clock);
@@ -112,6 +114,8 @@
   /** The store's clock minus this process's, in milliseconds. */
   let clockOffset = 0;
   let isRegistered = false;
+  /** Whether the other entries were sent what is registered. */
+  let isAnnounced = true;
   /** When this entry serves again, on the store's clock; undefined unless it is stopping. */
   let backAt: number | undefined;
   let highestFenced = 0;
@@ -161,11 +165,27 @@
 
   async function register() {
     if (isRegistered) return;
-    const value = encode({ node, backAt, relay });
-    recordState(await store.write({ expect: [], put: [{ table, key: entryKey(node), value }] }));
+    const row = { table, key: entryKey(node), value: encode({ node, backAt, relay }) };
+    recordState(await store.write({ expect: [], put: [row] }));
     isRegistered = true;
+    isAnnounced = false;
   }
 
+  /** Sends this entry's row to the others, which read the table seldom; they must be known. */
+  function announce() {
+    if (isAnnounced) return;
+    isAnnounced = true;
+    announcements.send({ table, key: entryKey(node), value: encode({ node, backAt, relay }) });
+  }
+
+  const onInvalidRow = (key: string, err: unknown) => {
+    log.warn({ key, ...errorFields(err) }, 'row not understood');
+  };
+
+  announcements.onRow(table, (row) => {
+    decodeEntries([row], onInvalidRow).forEach(entries.put);
+  });
+
   /**
    * Writes the lease; resolves to the milliseconds until the next run. If the store was restored
    * meanwhile, the write hit the row of an earlier era, which permits nothing.
@@ -203,9 +223,8 @@
     const state = await store.read(table);
     recordState(state);
     const row = state.rows.find(({ key }) => key === leaseKeyOf(state.era));
-    entries.update(decodeEntries(state.rows, (key, err) => {
-      log.warn({ key, ...errorFields(err) }, 'row not understood');
-    }));
+    entries.update(decodeEntries(state.rows, onInvalidRow));
+    announce();
     version = row?.version ?? 0;
     const current = decodeLease(row);
     recordAnswer(current?.token ?? 0);
--- a/packages/gateway/src/store/store-access.ts
+++ b/packages/gateway/src/store/store-access.ts
@@ -4,12 +4,13 @@
  */
 import type { Logger } from 'pino';
 import type { Clock } from '@verbenashunt/core';
-import { createExchanger } from '@verbenashunt/wire';
+import { createExchanger, type Exchanger } from '@verbenashunt/wire';
 import type { Address } from '../http/server.js';
 import type { RowStore } from '../ports.js';
 import { createAnnouncements, type Announcements } from '../relay/announcements.js';
 import { createRelayedStore, maxRelayDelayMs, type RelayedStore } from '../relay/relayed-store.js';
 import { serveRelay } from '../relay/relay-server.js';
+import type { RateLimiter } from '../targets/rate-limiter.js';
 import { createLeaseKeeper, type LeaseKeeper } from './lease-keeper.js';
 
 export interface StoreAccessOptions {
@@ -28,6 +29,8 @@
   store: RowStore;
   /** Shortest time in milliseconds within which a change in the store must take hold. */
   changeBoundMs(): number;
+  /** Takes a token for another entry of a bucket that this one keeps. */
+  takeToken: RateLimiter['takeForOther'];
 }
 
 export interface StoreAccess {
@@ -36,6 +39,8 @@
   store: RowStore;
   /** Rows that entries send to each other while the store does not take them. */
   announcements: Announcements;
+  /** For calls to other entries. */
+  entryExchanger: Exchanger;
   close(): void;
 }
 
@@ -61,9 +66,11 @@
   const server = relay && await serveRelay(relay, {
     logOf: (table) => relayedStore?.logOf(table),
     onAnnouncement: announcements.receive,
+    takeToken: deps.takeToken,
   });
   lease = createLeaseKeeper({
     ...deps,
+    announcements,
     node,
     relay: relay && { address: `${relay.host}:${server!.port}`, zone, capacity },
     isStoreUp: () => relayedStore?.isUpThroughRelay() ?? false,
@@ -80,6 +87,7 @@
     lease,
     store: relayedStore,
     announcements,
+    entryExchanger: exchanger,
     close() {
       server?.close();
       exchanger.close();
--- a/packages/gateway/src/targets/target-exchanger.ts
+++ b/packages/gateway/src/targets/target-exchanger.ts
@@ -1,15 +1,18 @@
 /**
  * Exchanger for targets. It reads what a target announces about itself in the headers of any
- * response, that it is leaving or wants a pause, and sends nothing to a target that wants a pause.
+ * response: that it is leaving, wants a pause or limits its rate. It sends nothing to a target that
+ * wants a pause, and takes a token for each request to one that limits its rate.
  */
 import type { Logger } from 'pino';
 import {
-  TargetPausedError, type TargetPauses, type TargetRateLimits, type TargetTable,
+  TargetLimitedError, TargetPausedError,
+  type ServingTarget, type TargetPauses, type TargetRateLimits, type TargetTable,
 } from '@verbenashunt/core';
 import type {
   Exchange, ExchangeHandler, Exchanger, ExchangeOptions, OutgoingRequest,
 } from '@verbenashunt/wire';
 import type { TargetProtocol } from '../ports.js';
+import { toLimitedTarget, type RateLimiter } from './rate-limiter.js';
 
 export interface TargetExchangerDeps {
   log: Logger;
@@ -18,6 +21,7 @@
   targets: TargetTable;
   pauses: TargetPauses;
   rateLimits: TargetRateLimits;
+  rateLimiter: Pick<RateLimiter, 'take'>;
 }
 
 /** Fails an exchange without sending anything, after the caller has received its handle. */
@@ -34,9 +38,13 @@
   };
 }
 
+const limitedError = ({ address }: ServingTarget, waitMs: number) => new TargetLimitedError(
+  `${address} takes no further request for ${Math.ceil(waitMs)} ms`,
+);
+
 export function createTargetExchanger(deps: TargetExchangerDeps): Exchanger {
   const {
-    log, exchanger, protocol, targets, pauses, rateLimits,
+    log, exchanger, protocol, targets, pauses, rateLimits, rateLimiter,
   } = deps;
 
   /** Reads the announcements of the target at an address. */
@@ -55,16 +63,12 @@
     pauses.pause(target, pauseMs);
   }
 
-  function start(
+  function startNow(
     address: string,
     req: OutgoingRequest,
     handler: ExchangeHandler,
     options: ExchangeOptions,
   ): Exchange {
-    const target = targets.byAddress(address);
-    if (target && pauses.isPaused(target)) {
-      return failUnsent(handler, new TargetPausedError(`${address} wants no requests for ${Math.ceil(pauses.remainingMs(target))} ms`));
-    }
     return exchanger.start(address, req, {
       ...handler,
       head(status, headers) {
@@ -74,5 +78,51 @@
     }, options);
   }
 
+  /** Starts an exchange once a token was taken for it; fails it unsent if there is none now. */
+  function startWithToken(
+    target: ServingTarget,
+    limitPerS: number,
+    ...exchangeArgs: Parameters<Exchanger['start']>
+  ): Exchange {
+    const [, , handler] = exchangeArgs;
+    let exchange: Exchange | undefined;
+    let isAborted = false;
+
+    function onToken(waitMs: number) {
+      if (isAborted) return;
+      if (waitMs === 0) {
+        exchange = startNow(...exchangeArgs);
+        return;
+      }
+      rateLimits.hold(target, waitMs);
+      handler.failed(limitedError(target, waitMs), false);
+    }
+
+    rateLimiter.take(toLimitedTarget(target, limitPerS)).then(onToken);
+    return {
+      get isSent() {
+        return exchange?.isSent ?? false;
+      },
+      abort() {
+        isAborted = true;
+        exchange?.abort();
+      },
+    };
+  }
+
+  function start(...exchangeArgs: Parameters<Exchanger['start']>): Exchange {
+    const [address, , handler] = exchangeArgs;
+    const target = targets.byAddress(address);
+    if (target && pauses.isPaused(target)) {
+      return failUnsent(handler, new TargetPausedError(`${address} wants no requests for ${Math.ceil(pauses.remainingMs(target))} ms`));
+    }
+    const limitPerS = target && rateLimits.limitOf(target);
+    if (!target || limitPerS === undefined) return startNow(...exchangeArgs);
+    const heldMs = rateLimits.heldMs(target);
+    return heldMs > 0
+      ? failUnsent(handler, limitedError(target, heldMs))
+      : startWithToken(target, limitPerS, ...exchangeArgs);
+  }
+
   return { start, close: exchanger.close };
 }
--- a/packages/gateway/src/targets/target-tracking.ts
+++ b/packages/gateway/src/targets/target-tracking.ts
@@ -4,7 +4,8 @@
  */
 import type { Logger } from 'pino';
 import {
-  createTargetPauses, createTargetRateLimits, createTargetTable, incarnationOf, sameRange,
+  createTargetBuckets, createTargetPauses, createTargetRateLimits, createTargetTable,
+  incarnationOf, sameRange,
   type Clock, type HeldRange, type LapseGraceOptions, type ServingConfigHolder,
   type ServingTarget, type TargetPauses, type TargetRateLimits, type TargetTable,
 } from '@verbenashunt/core';
@@ -19,6 +20,7 @@
 import { createCrashTable, type CrashTable } from '../store/crash-table.js';
 import type { LeaseKeeper } from '../store/lease-keeper.js';
 import { createTargetList, type TargetList } from '../store/target-list.js';
+import { createRateLimiter, type RateLimiter } from './rate-limiter.js';
 import { createTargetExchanger } from './target-exchanger.js';
 
 export interface TargetTrackingOptions {
@@ -33,6 +35,8 @@
   log: Logger;
   store: RowStore;
   announcements: Announcements;
+  /** For calls to other entries. */
+  entryExchanger: Exchanger;
   lease: LeaseKeeper;
   config: ServingConfigHolder;
   protocol: TargetProtocol;
@@ -46,6 +50,7 @@
   targets: TargetTable;
   pauses: TargetPauses;
   rateLimits: TargetRateLimits;
+  rateLimiter: RateLimiter;
   /** For all requests to targets. */
   exchanger: Exchanger;
   selector: Selector;
@@ -80,7 +85,15 @@
   } = deps;
   const targets = createTargetTable();
   const pauses = createTargetPauses(clock);
-  const rateLimits = createTargetRateLimits();
+  const rateLimits = createTargetRateLimits(clock);
+  const rateLimiter = createRateLimiter({
+    clock,
+    log,
+    exchanger: deps.entryExchanger,
+    buckets: createTargetBuckets(clock),
+    node,
+    entries: lease.entries,
+  });
   const exchanger = createTargetExchanger({
     log,
     exchanger: createExchanger({ connectTimeoutMs, keepAliveMs: idleReuseMs }),
@@ -88,6 +101,7 @@
     targets,
     pauses,
     rateLimits,
+    rateLimiter,
   });
   const isReachable = ({ address }: ServingTarget) => acceptsConnection(
     address,
@@ -102,6 +116,7 @@
     zone,
     targets,
     pauses,
+    rateLimits,
     entryCount: lease.entryCount,
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- each refers to the other
     loadMonitor: () => loadMonitor,
@@ -131,6 +146,8 @@
     exchanger,
     protocol,
     pauses,
+    rateLimits,
+    keeperCount: rateLimiter.keeperCount,
     ownTokens: selector.ownTokens,
     onHeldLayers,
     engines: () => engines().filter(isPolled),
@@ -180,13 +197,14 @@
     targets,
     pauses,
     rateLimits,
+    rateLimiter,
     exchanger,
     selector,
     loadMonitor,
     targetList,
     chainWatch,
     crashWatch: createCrashWatch({
-      clock, log, exchanger, protocol, crashTable, crashSeen: deps.crashSeen,
+      clock, log, exchanger, protocol, crashTable, isReachable, crashSeen: deps.crashSeen,
     }),
     crashTable,
     stallWatch,
--- a/test/gateway/load-monitor.test.ts
+++ b/test/gateway/load-monitor.test.ts
@@ -38,6 +38,8 @@
     exchanger,
     protocol: createPlatformPorts('127.0.0.1:1').targets,
     pauses,
+    rateLimits: { limitOf: () => undefined },
+    keeperCount: () => 1,
     ownTokens: () => 0,
     onHeldLayers() {},
     engines: () => [target],
--- a/test/gateway/relay.test.ts
+++ b/test/gateway/relay.test.ts
@@ -164,7 +164,7 @@
       entries: () => entries,
     });
     const relay = await serveRelay({ host: '127.0.0.1', port: 0 }, {
-      logOf: relayed.logOf, onAnnouncement() {},
+      logOf: relayed.logOf, onAnnouncement() {}, takeToken: async () => 0,
     });
     entries.push({
       node, backAt: undefined, relay: { address: `127.0.0.1:${relay.port}`, zone: 'zone-a', capacity: count - i },
--- a/test/gateway/selector.test.ts
+++ b/test/gateway/selector.test.ts
@@ -17,6 +17,7 @@
   zone: 'zone-a',
   targets,
   pauses,
+  rateLimits: { heldMs: () => 0 },
   entryCount: () => 1,
   loadMonitor: () => ({
     tokensAt: () => 0,
@@ -75,10 +76,10 @@
   pauses.pause(a, 3000);
   const chosen = Array.from({ length: 20 }, () => selector.choose(appSpec, new Set())?.target.id);
   expect(new Set(chosen)).toEqual(new Set(['b']));
-  expect(selector.allPausedMs('app')).toBe(0);
+  expect(selector.allClosedMs('app')).toBe(0);
   pauses.pause(b, 1000);
   expect(selector.choose(appSpec, new Set())).toBeUndefined();
-  expect(selector.allPausedMs('app')).toBe(1000);
+  expect(selector.allClosedMs('app')).toBe(1000);
   clock.advance(1000);
   expect(selector.choose(appSpec, new Set())?.target.id).toBe('b');
 });
--- a/test/platform/restored-store.test.ts
+++ b/test/platform/restored-store.test.ts
@@ -87,7 +87,8 @@
 });
 
 function startKeeper(node: string): LeaseKeeper {
-  const keeper = createLeaseKeeper({ ...createDeps(), node });
+  const announcements = { send() {}, onRow() {} };
+  const keeper = createLeaseKeeper({ ...createDeps(), announcements, node });
   cleanups.push(keeper.close);
   return keeper;
 }
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -135,7 +135,13 @@
 
 function startKeeper(node: string, isStoreUp?: () => boolean) {
   const keeper = createLeaseKeeper({
-    clock, random, log, store: createClient(), node, isStoreUp,
+    announcements: { send() {}, onRow() {} },
+    clock,
+    random,
+    log,
+    store: createClient(),
+    node,
+    isStoreUp,
   });
   cleanups.push(keeper.close);
   return keeper;
