--- a/packages/core/src/placement/hosts.ts
+++ b/packages/core/src/placement/hosts.ts
@@ -18,6 +18,8 @@
   stepFactor: number;
   /** Layers held now, or once a pending order has completed. */
   held: LayerRange | undefined;
+  /** Whether it limits the rate of the requests that are sent to it. */
+  isLimited: boolean;
 }
 
 export const countLayers = ({ lo, hi }: LayerRange) => hi - lo;
@@ -31,10 +33,11 @@
   {
     id, zone, kind, held,
   }: ServingTarget,
+  isLimited: boolean,
 ): LayerHost | undefined {
   const known = acceleratorKindOf(engine, kind);
   return known && {
-    id, zone, memoryMb: known.memoryMb, stepFactor: known.stepFactor, held,
+    id, zone, memoryMb: known.memoryMb, stepFactor: known.stepFactor, held, isLimited,
   };
 }
 
--- a/packages/core/src/placement/replicas.ts
+++ b/packages/core/src/placement/replicas.ts
@@ -12,8 +12,13 @@
   byMemory, chainKvTokens, countLayers, wantedKvTokens, type LayerHost, type LayerRange,
 } from './hosts.js';
 
-/** Hosts, replicas included, that should hold the first layers of a chain. */
+/**
+ * Hosts, replicas included, that should hold the first layers of a chain, those not counted that
+ * limit their rate: streams that start at these are few.
+ */
 const wantedFirstHolders = 4;
+/** Most hosts that hold the first layers, however many of them limit their rate. */
+const maxFirstHolders = 2 * wantedFirstHolders;
 /**
  * A replica must have KV cache for this share of the tokens of the host that it replicates, or for
  * `wantedKvTokens` if that is less.
@@ -48,6 +53,12 @@
 /** Holders of the first layers of the model. */
 const firstHolders = (holders: readonly Holder[]) => holders.filter(({ held }) => held.lo === 0);
 
+function needsFirstHolder(holders: readonly Holder[]): boolean {
+  const first = firstHolders(holders);
+  return first.length < maxFirstHolders
+    && first.filter(({ isLimited }) => !isLimited).length < wantedFirstHolders;
+}
+
 /**
  * The range that a host is to replicate: the first layers while too few hosts hold them, then the
  * range with the fewest holders and, among equals, the fewest KV tokens. Undefined if none fits.
@@ -62,7 +73,7 @@
   const fitting = holders.filter((holder) => hostKvTokens(engine, host, countLayers(holder.held))
     >= requiredKvTokens(holder));
   const first = firstHolders(fitting);
-  if (first.length > 0 && firstHolders(holders).length < wantedFirstHolders) return first[0]!.held;
+  if (first.length > 0 && needsFirstHolder(holders)) return first[0]!.held;
   const [neediest] = fitting.map(({ held }) => ({
     held, holders: rangeHolderCount(holders, held), kvTokens: rangeKvTokens(engine, holders, held),
   })).sort((a, b) => a.holders - b.holders || a.kvTokens - b.kvTokens);
--- a/packages/gateway/src/placement/controller.ts
+++ b/packages/gateway/src/placement/controller.ts
@@ -7,7 +7,7 @@
   errorFields, planLayers, sameRange, toLayerHost,
   type CancelTimer, type Clock, type EngineModel, type LayerHost, type LayerRange,
   type PlacedRange, type ServingConfigHolder, type ServingTarget, type TargetPauses,
-  type TargetTable,
+  type TargetRateLimits, type TargetTable,
 } from '@verbenashunt/core';
 import { exchangeOnce } from '@verbenashunt/wire';
 import { requestReport, type ReportDeps } from '../routing/report.js';
@@ -20,6 +20,7 @@
   targets: TargetTable;
   lease: LeaseKeeper;
   pauses: TargetPauses;
+  rateLimits: Pick<TargetRateLimits, 'heldMs' | 'limitOf'>;
   /** Whether the target counts as dead, so that plans leave it out. */
   isDead(id: string): boolean;
   /** Whether requests keep failing at the target, as at one that stops without notice. */
@@ -98,10 +99,11 @@
     } else if (!busy && clock.now() > expected.until) pending.delete(target.id);
   }
 
-  /** Whether a call to a target of a service may start: none is in progress, and no pause. */
+  /** Whether a call to a target of a service may start: none is in progress, and it takes one. */
   function mayCall(service: string, id: string): boolean {
     const target = targets.byId(id);
-    return target?.service === service && !activeCalls.has(id) && !deps.pauses.isPaused(target);
+    return target?.service === service && !activeCalls.has(id) && !deps.pauses.isPaused(target)
+      && deps.rateLimits.heldMs(target) === 0;
   }
 
   /** Starts a call to a target unless it must wait. */
@@ -114,10 +116,12 @@
     }).finally(() => activeCalls.delete(target.id));
   }
 
+  const isLimited = (target: ServingTarget) => deps.rateLimits.limitOf(target) !== undefined;
+
   function hostsOf(service: string, engine: EngineModel): LayerHost[] {
     return targets.ofService(service)
       .filter(({ draining, id }) => !draining && !deps.isDead(id) && !deps.isFailing(id))
-      .flatMap((target) => toLayerHost(engine, target) ?? [])
+      .flatMap((target) => toLayerHost(engine, target, isLimited(target)) ?? [])
       .map((host) => {
         const { id, held } = host;
         return { ...host, held: queued.get(id) ?? pending.get(id) ?? held };
--- a/test/serving/replicas.test.ts
+++ b/test/serving/replicas.test.ts
@@ -3,7 +3,9 @@
 import {
   chooseServingChain, findGaps, planLayers, type ServingTarget,
 } from '@verbenashunt/core';
-import { engine, threeZones, type TestHost } from '../support/layer-hosts.js';
+import {
+  createHosts, engine, threeZones, type TestHost,
+} from '../support/layer-hosts.js';
 
 const size = { promptTokens: 772, answerTokens: 154 };
 const streams = 40;
@@ -65,6 +67,16 @@
   starts.forEach((id) => expect(streamShare(chains, id)).toBeLessThan(1.5 / starts.size));
 });
 
+test('a host that holds nothing takes the first layers while those with them limit their rate', () => {
+  const placed = applyPlans(createHosts('a', 3, 3, 5));
+  const limited = placed.map((host) => ({ ...host, isLimited: host.held?.lo === 0 }));
+  const added = createHosts('a', 0, 0, 6).slice(-1).map((host) => ({ ...host, id: 'added' }));
+  const heldByAdded = (hosts: readonly TestHost[]) => applyPlans([...hosts, ...added])
+    .find(({ id }) => id === 'added')?.held?.lo;
+  expect(heldByAdded(placed)).not.toBe(0);
+  expect(heldByAdded(limited)).toBe(0);
+});
+
 test.each(zones)('zone %s: the loss of a target interrupts under 85% of the streams on average', (_, hosts) => {
   const placed = applyPlans(hosts);
   const chains = routeStreams(placed);
--- a/test/serving/zone-plan.test.ts
+++ b/test/serving/zone-plan.test.ts
@@ -33,7 +33,12 @@
 const without = (hosts: readonly LayerHost[], ...ids: string[]) => hosts
   .filter(({ id }) => !ids.includes(id));
 const empty = (id: string, zone: string): LayerHost => ({
-  id, zone, memoryMb: 14_400, stepFactor: 15, held: undefined,
+  id,
+  zone,
+  memoryMb: 14_400,
+  stepFactor: 15,
+  held: undefined,
+  isLimited: false,
 });
 
 const placed = applyPlans(threeZones);
@@ -54,7 +59,12 @@
     fc.array(fc.nat(59)),
     (fleet, lost) => {
       const hosts = fleet.map(({ zone, kind: { memoryMb, stepFactor } }, i): LayerHost => ({
-        id: String(i), zone, memoryMb, stepFactor, held: undefined,
+        id: String(i),
+        zone,
+        memoryMb,
+        stepFactor,
+        held: undefined,
+        isLimited: false,
       }));
       const after = applyPlans(without(applyPlans(hosts), ...lost.map(String)));
       after.forEach(({ held, memoryMb }) => {
@@ -145,6 +155,6 @@
 });
 
 test('hosts that all lost their layers get a new chain', () => {
-  const hosts = placed.map((host) => ({ ...host, held: undefined }));
+  const hosts = placed.map((host) => ({ ...host, held: undefined, isLimited: false }));
   expect(gapsOf(inZone(applyPlans(hosts), 'a'))).toEqual([]);
 });
--- a/test/support/layer-hosts.ts
+++ b/test/support/layer-hosts.ts
@@ -46,6 +46,7 @@
   zone,
   kind,
   held: undefined,
+  isLimited: false,
   memoryMb: kinds[kind].memoryMb,
   stepFactor: kinds[kind].stepFactor,
 }));
