--- a/packages/agent/src/orders/engine-order-client.ts
+++ b/packages/agent/src/orders/engine-order-client.ts
@@ -9,6 +9,9 @@
 /** Maximum time between sending an order and its effect, in milliseconds. */
 export const orderTimeoutMs = 5000;
 
+/** Maximum size of a response in bytes. */
+const maxResponseBytes = 1024 * 1024;
+
 export interface EngineOrderClient {
   status(): Promise<EngineStatus>;
   /**
@@ -23,7 +26,11 @@
   readonly #client: Client;
 
   constructor(url: string) {
-    this.#client = new Client(url, { headersTimeout: orderTimeoutMs, bodyTimeout: orderTimeoutMs });
+    this.#client = new Client(url, {
+      headersTimeout: orderTimeoutMs,
+      bodyTimeout: orderTimeoutMs,
+      maxResponseSize: maxResponseBytes,
+    });
   }
 
   async status() {
--- a/packages/agent/src/targets/engine-target.ts
+++ b/packages/agent/src/targets/engine-target.ts
@@ -10,6 +10,7 @@
 import { createPendingOps } from './pending-ops.js';
 
 const statusNotFound = 404;
+const lineFeed = 0x0a;
 const statusPollMs = 500;
 const reopenDelayMs = 200;
 /** Number of consecutive polls that fail immediately after which the engine is down. */
@@ -20,6 +21,11 @@
  */
 const immediateFailureMs = 500;
 
+/** Maximum size of a status in bytes. */
+const maxStatusBytes = 1024 * 1024;
+/** Maximum size in bytes of a line of the stream, which holds the hidden states of one step. */
+const maxLineBytes = 64 * 1024 * 1024;
+
 export interface EngineHandlers {
   onOutput(out: EngineOut): void;
   /** Called when the engine answers and its stream is open. */
@@ -51,7 +57,9 @@
   handlers: EngineHandlers,
 ): EngineTarget {
   const streamClient = new Client(url, { headersTimeout: 0, bodyTimeout: 0 });
-  const statusClient = new Client(url, { headersTimeout: 2000, bodyTimeout: 2000 });
+  const statusClient = new Client(url, {
+    headersTimeout: 2000, bodyTimeout: 2000, maxResponseSize: maxStatusBytes,
+  });
   let opStream: PassThrough | undefined;
   const pendingOps = createPendingOps();
   let session = randomUUID();
@@ -105,6 +113,12 @@
       if (!polling) pollAfter(0);
     };
     const lines = createInterface({ input: body });
+    let lineBytes = 0;
+    body.on('data', (chunk: Buffer) => {
+      const lineEnd = chunk.lastIndexOf(lineFeed);
+      lineBytes = lineEnd === -1 ? lineBytes + chunk.length : chunk.length - lineEnd - 1;
+      if (lineBytes > maxLineBytes) body.destroy(new TargetError(`the engine sent a line of over ${maxLineBytes} bytes`));
+    });
     lines.on('line', (line) => {
       if (opStream === input) receiveLine(line);
     });
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -60,6 +60,8 @@
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Size limit of an answer that is not a stream; no route has larger ones. */
 const maxAnswerBytes = 16 * 1024 * 1024;
+/** Size limit of an event of a stream, which holds a few tokens. */
+const maxEventBytes = 256 * 1024;
 
 export function startAttempt(
   req: AttemptRequest,
@@ -127,6 +129,7 @@
         splitter.push(chunk).forEach((event) => {
           if (!isOver) handler.event(event, head!.headers);
         });
+        if (splitter.pendingBytes > maxEventBytes) fail('broken', `an event is larger than ${maxEventBytes} bytes`);
         return;
       }
       size += chunk.length;
--- a/packages/wire/src/exchange.ts
+++ b/packages/wire/src/exchange.ts
@@ -64,8 +64,24 @@
 /** Idle time after which the kernel sends TCP keep-alive probes on a connection. */
 const keepAliveProbeDelayMs = 1000;
 
+/** Lowest status that is not informational. */
+const minFinalStatus = 200;
+/** Maximum number of informational (1xx) responses before a response. */
+const maxInformational = 16;
+/**
+ * Maximum number of bytes received besides the body, such as the status line and the chunk headers;
+ * as many again as the body has are allowed for its framing.
+ */
+const maxOverheadBytes = 256 * 1024;
+/** Interval in milliseconds at which open exchanges are checked for more than that. */
+const overheadCheckMs = 50;
+/** Maximum size in bytes of the body of an exchange that is read as a whole. */
+const maxBodyBytes = 8 * 1024 * 1024;
+
 interface Connection {
   client: Client;
+  /** Undefined before it is connected. */
+  socket: Socket | undefined;
   /** Whether the socket had an error, such as a reset, instead of an orderly end. */
   hasSocketError: boolean;
   isClosed: boolean;
@@ -77,9 +93,16 @@
   });
   const idleConnections = new Map<string, Connection[]>();
   const openConnections = new Set<Connection>();
+  const overheadChecks = new Set<() => void>();
+  // The parser reports neither a status line nor a chunk extension before its end.
+  const overheadTimer = setInterval(
+    () => overheadChecks.forEach((check) => check()),
+    overheadCheckMs,
+  ).unref();
 
   function openConnection(address: string): Connection {
     const connection: Connection = {
+      socket: undefined,
       hasSocketError: false,
       isClosed: false,
       client: new Client(`http://${address}`, {
@@ -94,8 +117,12 @@
             socket?.once('error', () => {
               connection.hasSocketError = true;
             });
-            if (err) callback(err, null);
-            else callback(null, socket);
+            if (err) {
+              callback(err, null);
+              return;
+            }
+            connection.socket = socket;
+            callback(null, socket);
           });
         },
       }),
@@ -137,14 +164,19 @@
     start(address, req, handler, { dedicatedConnection }) {
       const connection = (dedicatedConnection ? undefined : takeIdle(address))
         ?? openConnection(address);
+      const receivedBefore = connection.socket?.bytesRead ?? 0;
       let isSent = false;
       let isFinished = false;
       let isFramed = false;
+      let informational = 0;
+      let bodyBytes = 0;
 
       /** Ends the exchange; returns false if it had already ended. */
       function finish(canReuse: boolean): boolean {
         if (isFinished) return false;
         isFinished = true;
+        // eslint-disable-next-line @typescript-eslint/no-use-before-define -- mutual reference
+        overheadChecks.delete(checkOverhead);
         if (canReuse && !dedicatedConnection) setImmediate(() => returnToIdle(address, connection));
         else destroyConnection(connection);
         return true;
@@ -156,6 +188,13 @@
         handler.failed(new TargetError(message, { cause: err }), isSent);
       }
 
+      function checkOverhead() {
+        const received = (connection.socket?.bytesRead ?? 0) - receivedBefore;
+        if (received <= maxOverheadBytes + 2 * bodyBytes) return;
+        fail(new TargetError(`${address} sent over ${maxOverheadBytes} bytes besides an answer`));
+      }
+      overheadChecks.add(checkOverhead);
+
       connection.client.dispatch({
         method: req.method,
         path: req.path,
@@ -167,11 +206,17 @@
           isSent = true;
         },
         onResponseStart(_, status, headers) {
-          if (isFinished || status < 200) return;
+          if (isFinished) return;
+          if (status < minFinalStatus) {
+            informational += 1;
+            if (informational > maxInformational) fail(new TargetError(`${address} sent over ${maxInformational} informational responses`));
+            return;
+          }
           isFramed = 'content-length' in headers || 'transfer-encoding' in headers;
           handler.head(status, headers);
         },
         onResponseData(_, chunk) {
+          bodyBytes += chunk.length;
           if (!isFinished) handler.data(chunk);
         },
         onResponseEnd() {
@@ -192,7 +237,10 @@
         },
       };
     },
-    close: () => [...openConnections].forEach(destroyConnection),
+    close() {
+      clearInterval(overheadTimer);
+      [...openConnections].forEach(destroyConnection);
+    },
   };
 }
 
@@ -202,7 +250,10 @@
   body: Buffer;
 }
 
-/** Runs an exchange; rejects with TargetError if the response is not complete in `timeoutMs`. */
+/**
+ * Runs an exchange; rejects with TargetError if the response is not complete in `timeoutMs` or
+ * larger than `maxBodyBytes`.
+ */
 export const exchangeOnce = (
   exchanger: Exchanger,
   address: string,
@@ -210,13 +261,22 @@
   timeoutMs: number,
 ) => new Promise<ExchangeResponse>((resolve, reject) => {
   const chunks: Buffer[] = [];
+  let size = 0;
   let head: Omit<ExchangeResponse, 'body'> | undefined;
   let timer: NodeJS.Timeout;
   const exchange = exchanger.start(address, req, {
     head(status, headers) {
       head = { status, headers };
     },
-    data: (chunk) => chunks.push(chunk),
+    data(chunk) {
+      size += chunk.length;
+      chunks.push(chunk);
+      if (size <= maxBodyBytes) return;
+      clearTimeout(timer);
+
+      exchange.abort();
+      reject(new TargetError(`${address} sent a body of over ${maxBodyBytes} bytes`));
+    },
     end() {
       clearTimeout(timer);
       resolve({ ...head!, body: Buffer.concat(chunks) });
