Take a stream without a length or chunks as ended when its connection ends

Now one that ends after an event is complete if its target still accepts a connection; else, or inside an event, or after a reset, it is resumed.

--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -1,7 +1,7 @@
 /** Sends one attempt of a request to a target and classifies the outcome. */
 import type { IncomingHttpHeaders } from 'node:http';
 import {
-  createEventSplitter, isHeldBack, type AttemptEnd, type StreamEvent,
+  createEventSplitter, isHeldBack, type AttemptEnd, type ServingTarget, type StreamEvent,
 } from '@verbenashunt/core';
 import type { Exchange, Exchanger } from '@verbenashunt/wire';
 import type { AttemptRequest, TargetProtocol } from '../ports.js';
@@ -10,6 +10,8 @@
 export interface AttemptDeps {
   exchanger: Exchanger;
   protocol: TargetProtocol;
+  /** Whether a target accepts a connection. */
+  isReachable(target: ServingTarget): Promise<boolean>;
 }
 
 export interface AttemptOptions {
@@ -67,7 +69,7 @@
   req: AttemptRequest,
   options: AttemptOptions,
   handler: AttemptHandler,
-  { exchanger, protocol }: AttemptDeps,
+  { exchanger, protocol, isReachable }: AttemptDeps,
 ): Attempt {
   const splitter = createEventSplitter();
   const chunks: Buffer[] = [];
@@ -104,16 +106,24 @@
     }
   }
 
-  function endEventStream(isFramed: boolean) {
-    if (splitter.pendingBytes > 0 || !isFramed) {
-      const reason = isFramed ? 'the stream ended inside an event' : 'the stream had no length or chunked encoding';
-      fail('broken', reason, { isConnectionLost: true });
-      return;
-    }
+  function complete() {
+    if (isOver) return;
     isOver = true;
     handler.completed(head!.headers);
   }
 
+  /** Without a length or chunks, only a target that lives on shows that it has ended the stream. */
+  async function completeIfReachable() {
+    if (await isReachable(req.target)) complete();
+    else fail('broken', 'the target is gone after a stream without a length', { isConnectionLost: true });
+  }
+
+  function endEventStream(isFramed: boolean) {
+    if (splitter.pendingBytes > 0) fail('broken', 'the stream ended inside an event', { isConnectionLost: true });
+    else if (isFramed) complete();
+    else completeIfReachable();
+  }
+
   exchange = exchanger.start(req.target.address, protocol.encode(req), {
     head(status, headers) {
       const { requestId, notRun, blamed } = protocol.head(status, headers);
--- a/packages/gateway/src/targets/target-tracking.ts
+++ b/packages/gateway/src/targets/target-tracking.ts
@@ -53,6 +53,8 @@
   rateLimiter: RateLimiter;
   /** For all requests to targets. */
   exchanger: Exchanger;
+  /** Whether a target accepts a connection. */
+  isReachable(target: ServingTarget): Promise<boolean>;
   selector: Selector;
   loadMonitor: LoadMonitor;
   /** Applies the rows of the table of targets. */
@@ -199,6 +201,7 @@
     rateLimits,
     rateLimiter,
     exchanger,
+    isReachable,
     selector,
     loadMonitor,
     targetList,
--- a/test/gateway/streams.test.ts
+++ b/test/gateway/streams.test.ts
@@ -80,6 +80,20 @@
   expect(refused).toBeLessThan(40);
 });
 
+test('a stream without a length or chunks ends with its connection', async () => {
+  const setup = await start({ pool: [[0, 8], [0, 8]], engine: { events: eventCount } });
+  setup.pool.forEach((engine) => Object.assign(engine, { behaviour: 'unframed-stream' }));
+  expect(await setup.stream()).toMatchObject({ status: 200, body: allEvents, isComplete: true });
+  expect(setup.pool.flatMap(({ ran }) => ran)).toHaveLength(1);
+});
+
+test.each(['unframed-half', 'unframed-crash'] as const)('a stream without a length or chunks is resumed if it breaks off: %s', async (behaviour) => {
+  const setup = await start({ pool: [[0, 8], [0, 8]], engine: { events: eventCount } });
+  setup.pool.forEach((engine) => Object.assign(engine, { behaviour }));
+  expect(await setup.stream()).toMatchObject({ status: 200, body: allEvents, isComplete: true });
+  expect(setup.pool.flatMap(({ ran }) => ran)).toHaveLength(2);
+});
+
 test('a stream that waits for a dead stage is rerouted around it', async () => {
   const setup = await start({ pool: [[0, 4], [4, 8], [4, 8]], engine: { events: eventCount } });
   const [first] = setup.pool;
