Bound the row of crashes by its size, and split its record from the history

A row could grow to 75 KB with long names (the store takes 64): lists are bounded in bytes as well as in number. Merging records limits their size once instead of at each crash. The record and the decision on all records are two modules now.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,6 +20,7 @@
 export * from './ledger/admission.js';
 export * from './ledger/call-ledger.js';
 export * from './retry/budget.js';
+export * from './poison/crash-record.js';
 export * from './poison/crash-history.js';
 export * from './poison/crashing-parts.js';
 export * from './poison/part-quarantine.js';
--- a/packages/core/src/poison/crashing-parts.ts
+++ b/packages/core/src/poison/crashing-parts.ts
@@ -23,6 +23,19 @@
   unbegun: readonly UnbegunRequest[];
 }
 
+const sameUnbegun = (a: UnbegunRequest, b: UnbegunRequest) => a.sentAt === b.sentAt
+  && a.parts.join() === b.parts.join();
+
+/** Two observations of the same crash as one. */
+export const mergeCrashes = <T extends PartCrash>(a: T, b: T): T => ({
+  ...a,
+  at: Math.min(a.at, b.at),
+  unbegun: [
+    ...a.unbegun,
+    ...b.unbegun.filter((req) => !a.unbegun.some((other) => sameUnbegun(req, other))),
+  ],
+});
+
 /** Crashes of different targets, one after another, that make a part the cause. */
 export const crashingPartThreshold = 3;
 
--- a/packages/core/src/poison/part-quarantine.ts
+++ b/packages/core/src/poison/part-quarantine.ts
@@ -5,7 +5,8 @@
  */
 import QuickLRU from 'quick-lru';
 import type { Clock } from '../clock/clock.js';
-import type { BegunPart, CrashHistory } from './crash-history.js';
+import type { CrashHistory } from './crash-history.js';
+import type { BegunPart } from './crash-record.js';
 import {
   countSequential, crashingPartThreshold, evidenceSince, findCrashingParts, findSuspectParts,
   type SuspectPart,
--- a/test/serving/crash-history.test.ts
+++ b/test/serving/crash-history.test.ts
@@ -2,7 +2,8 @@
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
 import {
-  createCrashHistory, ManualClock, parseCrashRecord, withAnswerAfterCrash, withCrash,
+  createCrashHistory, ManualClock, parseCrashRecord, withAnswerAfterCrash, withBegunParts,
+  withCrash,
   type CrashRecord,
 } from '@verbenashunt/core';
 
@@ -68,6 +69,28 @@
   expect(JSON.stringify(record).length).toBeLessThan(48_000);
 });
 
+test('a record with the longest names fits into a row of the store', () => {
+  const names = (prefix: string, count: number) => Array
+    .from({ length: count }, (_, i) => `${prefix}${i}`.padEnd(40, 'x'));
+  const parts = names('part-', 8);
+  const record = names('target-', 60).reduce<CrashRecord | undefined>((before, target) => {
+    const crash = {
+      target,
+      fingerprints: names('f', 100),
+      at: 1e12,
+      unbegun: Array.from({ length: 40 }, (_, i) => ({ parts, sentAt: 1e12 + i })),
+    };
+    const answer = { fingerprint: target, targets: names('target-', 60) };
+    return withBegunParts(
+      withAnswerAfterCrash(withCrash(before, crash), answer),
+      names(`begun-${target}`, 20).map((part) => ({ part, at: 1e12 })),
+    );
+  }, undefined)!;
+  expect(JSON.stringify(record).length).toBeLessThan(60_000);
+  expect(record.crashes.at(-1)!.target).toBe(names('target-', 60).at(-1));
+  expect([record.acquittals.length, record.begun.length].every((length) => length > 0)).toBe(true);
+});
+
 test('unknown and invalid parts of a row are ignored', () => {
   expect(parseCrashRecord(undefined)).toEqual({ crashes: [], acquittals: [], begun: [] });
   expect(parseCrashRecord({
