Split the run of a request and the HTTP client of targets by job

The connections of exchange.ts are a pool beside it; open exchanges are checked for bytes without end ten times a second instead of twenty.

--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -2,7 +2,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import {
   afterAttempt, mayRepeat, newRetryState, nextStep,
-  type AttemptEnd, type CancelTimer, type RetryStep, type RefusalCode, type RetryWindow,
+  type AttemptEnd, type CancelTimer, type RefusalCode, type RetryWindow,
   type StreamEvent,
 } from '@verbenashunt/core';
 import { chooseOnTime } from '../routing/admission.js';
@@ -13,6 +13,7 @@
 } from './attempt.js';
 import type { CrashWatch } from './crash-watch.js';
 import { createDelivery, type DeliveryDeps } from './delivery.js';
+import { createEnding } from './ending.js';
 import type { StreamProgress, TargetProgress } from './progress.js';
 import { createRerouter } from './reroute.js';
 import type { ResumeQueue } from './resume-queue.js';
@@ -79,37 +80,14 @@
     deps.requestEnded(outcome);
   }
 
-  function cutOff(reason: string) {
-    close('cut');
-    delivery.cutOff(reason);
-  }
-
-  function refuse(code: RefusalCode, ran: 'no' | 'unknown', reason: string) {
-    close(code);
-    delivery.refuse(code, ran, reason, attempts);
-  }
-
-  function finish(step: RetryStep, failure: AttemptFailure) {
-    if (step.do === 'cut') {
-      cutOff(failure.reason);
-    } else if (step.do === 'relay') {
-      close('relayed');
-      delivery.relayFailure(failure.answer!, { choice: choice!, attempts });
-    } else if (step.do === 'refuse') {
-      refuse(step.ran === 'no' ? 'overloaded' : 'interrupted', step.ran, failure.reason);
-    }
-  }
-
-  /** Ends the request if it must not run again because it crashes targets; whether it has to. */
-  function endIfPoison(): boolean {
-    const poison = deps.crashWatch.findPoison(spec);
-    if (poison === undefined) return false;
-    const reason = `crashes targets by ${poison}`;
-    if (delivery.hasStarted) cutOff(reason);
-    else if (retryState.ran === 0) refuse('quarantined', 'no', reason);
-    else refuse('interrupted', 'unknown', reason);
-    return true;
-  }
+  const ending = createEnding(spec, {
+    delivery,
+    crashWatch: deps.crashWatch,
+    progress: () => ({
+      retryState, attempts, choice, isSent: attempt?.isSent ?? false,
+    }),
+    close,
+  });
 
   /** Takes a retry from the budget unless one is left over; false if there is none. */
   function payRetry(): boolean {
@@ -124,17 +102,13 @@
     return next && (attemptEnd === 'unsent' || payRetry()) ? next : undefined;
   }
 
-  /** Ends the request early; `code` is the refusal if it can't have run. */
   function giveUp(code: RefusalCode, reason: string) {
-    if (isOver) return;
-    if (delivery.hasStarted) cutOff(reason);
-    else if (retryState.ran === 0 && !attempt?.isSent) refuse(code, 'no', reason);
-    else refuse('outcome_unknown', 'unknown', reason);
+    if (!isOver) ending.giveUp(code, reason);
   }
 
   /* eslint-disable @typescript-eslint/no-use-before-define -- a failure starts the next attempt */
   function retryOrFinish(failure: AttemptFailure) {
-    if (isOver || endIfPoison()) return;
+    if (isOver || ending.endIfPoison()) return;
     const { end: attemptEnd } = failure;
     const shouldRetry = nextStep(spec, retryState, attemptEnd, true).do === 'try';
     // The caller keeps the part that it has received, so the stream may wait for a new chain.
@@ -145,7 +119,7 @@
     }
     const next = shouldRetry ? chooseRetry(attemptEnd) : undefined;
     if (next) runAttempt(next);
-    else finish(nextStep(spec, retryState, attemptEnd, false), failure);
+    else ending.finish(nextStep(spec, retryState, attemptEnd, false), failure);
   }
 
   function failed(failure: AttemptFailure) {
@@ -181,7 +155,7 @@
   /** Waits for a turn to resume; targets that were full may have capacity by then. */
   function resumeLater() {
     cancelTimer = deps.resumeQueue.wait(() => {
-      if (endIfPoison()) return;
+      if (ending.endIfPoison()) return;
       let next = selector.choose(spec, avoid);
       if (!next) {
         avoid.clear();
--- a/packages/wire/src/exchange.ts
+++ b/packages/wire/src/exchange.ts
@@ -4,9 +4,8 @@
  * whether a response without a length ended in order or by a connection reset.
  */
 import type { IncomingHttpHeaders } from 'node:http';
-import type { Socket } from 'node:net';
-import { buildConnector, Client } from 'undici';
 import { TargetError } from '@verbenashunt/core';
+import { createConnectionPool, type ConnectionPoolOptions } from './connection-pool.js';
 
 export interface OutgoingRequest {
   method: string;
@@ -51,19 +50,6 @@
   close(): void;
 }
 
-export interface ExchangerOptions {
-  connectTimeoutMs: number;
-  /** Idle time after which a connection is not reused, unless the server announces another. */
-  keepAliveMs: number;
-}
-
-/** Time before the server's announced keep-alive end at which a connection is no longer reused. */
-const keepAliveMarginMs = 1000;
-/** Maximum number of idle connections per address. */
-const maxIdlePerAddress = 4;
-/** Idle time after which the kernel sends TCP keep-alive probes on a connection. */
-const keepAliveProbeDelayMs = 1000;
-
 /** Lowest status that is not informational. */
 const minFinalStatus = 200;
 /** Maximum number of informational (1xx) responses before a response. */
@@ -74,25 +60,12 @@
  */
 const maxOverheadBytes = 256 * 1024;
 /** Interval in milliseconds at which open exchanges are checked for more than that. */
-const overheadCheckMs = 50;
+const overheadCheckMs = 100;
 /** Maximum size in bytes of the body of an exchange that is read as a whole. */
 const maxBodyBytes = 8 * 1024 * 1024;
 
-interface Connection {
-  client: Client;
-  /** Undefined before it is connected. */
-  socket: Socket | undefined;
-  /** Whether the socket had an error, such as a reset, instead of an orderly end. */
-  hasSocketError: boolean;
-  isClosed: boolean;
-}
-
-export function createExchanger({ connectTimeoutMs, keepAliveMs }: ExchangerOptions): Exchanger {
-  const connect = buildConnector({
-    timeout: connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: keepAliveProbeDelayMs,
-  });
-  const idleConnections = new Map<string, Connection[]>();
-  const openConnections = new Set<Connection>();
+export function createExchanger(options: ConnectionPoolOptions): Exchanger {
+  const pool = createConnectionPool(options);
   const overheadChecks = new Set<() => void>();
   // The parser reports neither a status line nor a chunk extension before its end.
   const overheadTimer = setInterval(
@@ -100,70 +73,9 @@
     overheadCheckMs,
   ).unref();
 
-  function openConnection(address: string): Connection {
-    const connection: Connection = {
-      socket: undefined,
-      hasSocketError: false,
-      isClosed: false,
-      client: new Client(`http://${address}`, {
-        pipelining: 1,
-        headersTimeout: 0,
-        bodyTimeout: 0,
-        keepAliveTimeout: keepAliveMs,
-        keepAliveTimeoutThreshold: keepAliveMarginMs,
-        connect(options, callback) {
-          connect(options, (...[err, socket]: [Error, null] | [null, Socket]) => {
-            // Registered before undici's own listener, which treats a reset as the response's end.
-            socket?.once('error', () => {
-              connection.hasSocketError = true;
-            });
-            if (err) {
-              callback(err, null);
-              return;
-            }
-            connection.socket = socket;
-            callback(null, socket);
-          });
-        },
-      }),
-    };
-    openConnections.add(connection);
-    connection.client.on('disconnect', () => {
-      connection.isClosed = true;
-    });
-    return connection;
-  }
-
-  function destroyConnection(connection: Connection) {
-    openConnections.delete(connection);
-    connection.client.destroy().catch(() => {
-      // The connection is discarded, so a failure to close it does not matter.
-    });
-  }
-
-  function takeIdle(address: string): Connection | undefined {
-    const list = idleConnections.get(address) ?? [];
-    const connection = list.pop();
-    if (!connection) return undefined;
-    if (!connection.isClosed) return connection;
-    destroyConnection(connection);
-    return takeIdle(address);
-  }
-
-  function returnToIdle(address: string, connection: Connection) {
-    const list = idleConnections.get(address) ?? [];
-    if (connection.isClosed || list.length >= maxIdlePerAddress) {
-      destroyConnection(connection);
-      return;
-    }
-    list.push(connection);
-    idleConnections.set(address, list);
-  }
-
   return {
     start(address, req, handler, { dedicatedConnection }) {
-      const connection = (dedicatedConnection ? undefined : takeIdle(address))
-        ?? openConnection(address);
+      const connection = dedicatedConnection ? pool.open(address) : pool.take(address);
       const receivedBefore = connection.socket?.bytesRead ?? 0;
       let isSent = false;
       let isFinished = false;
@@ -177,8 +89,9 @@
         isFinished = true;
         // eslint-disable-next-line @typescript-eslint/no-use-before-define -- mutual reference
         overheadChecks.delete(checkOverhead);
-        if (canReuse && !dedicatedConnection) setImmediate(() => returnToIdle(address, connection));
-        else destroyConnection(connection);
+        if (canReuse && !dedicatedConnection) {
+          setImmediate(() => pool.giveBack(address, connection));
+        } else pool.destroy(connection);
         return true;
       }
 
@@ -239,7 +152,7 @@
     },
     close() {
       clearInterval(overheadTimer);
-      [...openConnections].forEach(destroyConnection);
+      pool.close();
     },
   };
 }
