Log and count how unframed streams end, and what their targets were found to be

A line 'unframed stream ended' now names the incarnation, the last event, the answer to the question about its address and the verdict; a counter counts the verdicts; 'stream completed' and 'request answered' say whether the answer was framed. The question moves from the attempt to a module of its own; it is decided as before.

--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -32,6 +32,8 @@
   /** Records that the request left the queue `ms` milliseconds after it had entered it. */
   waited(ms: number): void;
   queueRefused(reason: AdmissionRefusalReason): void;
+  /** Counts a stream without a length or chunks that ended after a whole event, or without any. */
+  unframedStreamEnded(verdict: string): void;
 }
 
 /** Metrics of the loads that entries exchange. */
@@ -56,6 +58,9 @@
   const attempts = new Counter({
     name: 'verbenashunt_gateway_failed_attempts_total', help: 'Attempts at targets without an answer, by how they ended.', labelNames: ['end'], registers,
   });
+  const unframedStreams = new Counter({
+    name: 'verbenashunt_gateway_unframed_stream_ends_total', help: 'Attempts whose stream came without a length or chunks and ended with its connection, by how the end was judged.', labelNames: ['verdict'], registers,
+  });
   const heldBack = new Counter({
     name: 'verbenashunt_gateway_held_back_attempts_total', help: 'Attempts that were not sent, as the chosen target wanted a pause or was at its rate limit.', registers,
   });
@@ -158,6 +163,7 @@
         firstByteSent: (ms) => firstByte.observe({ kind }, ms / millisecondsPerSecond),
         waited: (ms) => waits.observe({ priority }, ms / millisecondsPerSecond),
         queueRefused: (reason) => queueRefusals.inc({ priority, reason }),
+        unframedStreamEnded: (verdict) => unframedStreams.inc({ verdict }),
       };
     },
   };
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -1,7 +1,7 @@
 /** Sends one attempt of a request to a target and classifies the outcome. */
 import type { IncomingHttpHeaders } from 'node:http';
 import {
-  createEventSplitter, isHeldBack, type AttemptEnd, type ServingTarget, type StreamEvent,
+  createEventSplitter, isHeldBack, type AttemptEnd, type StreamEvent,
 } from '@verbenashunt/core';
 import type { Exchange, Exchanger } from '@verbenashunt/wire';
 import type { AttemptRequest, TargetProtocol } from '../ports.js';
@@ -10,8 +10,6 @@
 export interface AttemptDeps {
   exchanger: Exchanger;
   protocol: TargetProtocol;
-  /** Whether a target accepts a connection. */
-  isReachable(target: ServingTarget): Promise<boolean>;
 }
 
 export interface AttemptOptions {
@@ -36,13 +34,26 @@
   reason: string;
 }
 
+/** Status and headers of an answer. */
+export interface AnswerStart {
+  status: number;
+  headers: IncomingHttpHeaders;
+  /** Whether it has a length or chunked encoding, which shows where it ends. */
+  isFramed: boolean;
+}
+
 export interface AttemptHandler {
   /** Called with a complete answer that is not an event stream. */
   answered(answer: WholeAnswer): void;
-  /** Called with each complete event of a stream and the headers of the answer. */
-  event(event: StreamEvent, headers: IncomingHttpHeaders): void;
-  /** Called when the stream has ended after a complete event. */
-  completed(headers: IncomingHttpHeaders): void;
+  /** Called with each complete event of a stream and the start of its answer. */
+  event(event: StreamEvent, start: AnswerStart): void;
+  /** Called when a stream with a length or chunked encoding has ended after a complete event. */
+  completed(start: AnswerStart): void;
+  /**
+   * Called when the connection of a stream without either has ended in order after a complete
+   * event, or without any event. The stream may have been broken off.
+   */
+  endedUnframed(start: AnswerStart): void;
   /** Called when the attempt ended without a usable answer. */
   failed(failure: AttemptFailure): void;
 }
@@ -69,16 +80,16 @@
   req: AttemptRequest,
   options: AttemptOptions,
   handler: AttemptHandler,
-  { exchanger, protocol, isReachable }: AttemptDeps,
+  { exchanger, protocol }: AttemptDeps,
 ): Attempt {
   const splitter = createEventSplitter();
   const chunks: Buffer[] = [];
   let size = 0;
-  let head: { status: number; headers: IncomingHttpHeaders } | undefined;
+  let start: AnswerStart | undefined;
   let isOver = false;
   let exchange: Exchange | undefined;
 
-  const isEventStream = () => options.isStream && head?.status === statusOk;
+  const isEventStream = () => options.isStream && start?.status === statusOk;
 
   function fail(attemptEnd: AttemptEnd, reason: string, details: Partial<AttemptFailure> = {}) {
     if (isOver) return;
@@ -95,8 +106,8 @@
     });
   }
 
-  function endWholeAnswer(isFramed: boolean) {
-    const answer = { ...head!, body: Buffer.concat(chunks), isFramed };
+  function endWholeAnswer() {
+    const answer = { ...start!, body: Buffer.concat(chunks) };
     if (notRunStatuses.has(answer.status)) {
       fail('unknown', `status ${answer.status} without a word on whether it ran`);
     } else if (answer.status >= minServerError) fail('failed', `status ${answer.status}`, { answer });
@@ -106,28 +117,20 @@
     }
   }
 
-  function complete() {
-    if (isOver) return;
+  function endEventStream() {
+    if (splitter.pendingBytes > 0) {
+      fail('broken', 'the stream ended inside an event', { isConnectionLost: true });
+      return;
+    }
     isOver = true;
-    handler.completed(head!.headers);
-  }
-
-  /** Without a length or chunks, only a target that lives on shows that it has ended the stream. */
-  async function completeIfReachable() {
-    if (await isReachable(req.target)) complete();
-    else fail('broken', 'the target is gone after a stream without a length', { isConnectionLost: true });
-  }
-
-  function endEventStream(isFramed: boolean) {
-    if (splitter.pendingBytes > 0) fail('broken', 'the stream ended inside an event', { isConnectionLost: true });
-    else if (isFramed) complete();
-    else completeIfReachable();
+    if (start!.isFramed) handler.completed(start!);
+    else handler.endedUnframed(start!);
   }
 
   exchange = exchanger.start(req.target.address, protocol.encode(req), {
-    head(status, headers) {
+    head(status, headers, isFramed) {
       const { requestId, notRun, blamed } = protocol.head(status, headers);
-      head = { status, headers };
+      start = { status, headers, isFramed };
       if (requestId !== undefined && requestId !== req.caller.id) {
         fail('unknown', 'the answer carries the id of another request');
       } else if (notRun) fail('not_run', `not run, status ${status}`, { blamed });
@@ -137,7 +140,7 @@
       if (isOver) return;
       if (isEventStream()) {
         splitter.push(chunk).forEach((event) => {
-          if (!isOver) handler.event(event, head!.headers);
+          if (!isOver) handler.event(event, start!);
         });
         if (splitter.pendingBytes > maxEventBytes) fail('broken', `an event is larger than ${maxEventBytes} bytes`);
         return;
@@ -146,14 +149,14 @@
       chunks.push(chunk);
       if (size > maxAnswerBytes) fail('broken', `the answer is larger than ${maxAnswerBytes} bytes`);
     },
-    end(isFramed) {
+    end() {
       if (isOver) return;
-      if (isEventStream()) endEventStream(isFramed);
-      else endWholeAnswer(isFramed);
+      if (isEventStream()) endEventStream();
+      else endWholeAnswer();
     },
     failed(err, isSent) {
       if (!isSent) fail('unsent', err.message, { isHeldBack: isHeldBack(err) });
-      else fail(head ? 'broken' : 'unknown', err.message, { isConnectionLost: true });
+      else fail(start ? 'broken' : 'unknown', err.message, { isConnectionLost: true });
     },
   }, { dedicatedConnection: options.dedicatedConnection });
 
--- a/packages/gateway/src/requests/delivery.ts
+++ b/packages/gateway/src/requests/delivery.ts
@@ -1,11 +1,11 @@
 /** Passes a request's answer on to its caller, and logs how the request ended. */
-import type { IncomingHttpHeaders } from 'node:http';
 import {
   createEventOrder, createRefusal, staggeredRetryAfterMs,
   type Clock, type RefusalCode, type StreamEvent,
 } from '@verbenashunt/core';
 import type { RequestMetrics } from '../metrics.js';
 import type { Choice, Selector } from '../routing/selector.js';
+import type { AnswerStart } from './attempt.js';
 import type { RequestLog } from './request-log.js';
 import { queueAccountOf, queueFieldsOf, type StartQueue } from './start-queue.js';
 import { createStreamTiming } from './stream-timing.js';
@@ -36,8 +36,8 @@
    * Sends an event of the stream. Returns `repeated` for one that the caller already has, and `gap`
    * for one that does not follow the last; neither is sent.
    */
-  sendEvent(next: StreamEvent, headers: IncomingHttpHeaders): 'sent' | 'repeated' | 'gap';
-  complete(headers: IncomingHttpHeaders, served: Served): void;
+  sendEvent(next: StreamEvent, start: AnswerStart): 'sent' | 'repeated' | 'gap';
+  complete(start: AnswerStart, served: Served): void;
   sendWhole(answer: WholeAnswer, served: Served): void;
   /** Passes on the error answer of a target. */
   relayFailure(answer: WholeAnswer, served: Served): void;
@@ -64,7 +64,7 @@
     get lastEventId() {
       return eventOrder.last;
     },
-    sendEvent(next, headers) {
+    sendEvent(next, { headers }) {
       const verdict = eventOrder.accept(next);
       if (verdict === 'repeated' || verdict === 'gap') return verdict;
       const firstMs = timing.event();
@@ -73,7 +73,7 @@
       writer.write(next.bytes.toString('latin1'));
       return 'sent';
     },
-    complete(headers, { choice, attempts }) {
+    complete({ headers, isFramed }, { choice, attempts }) {
       writer ??= sink.open(200, headers);
       log.info({
         req: id,
@@ -81,6 +81,7 @@
         stages: choice.parts.length,
         zones: new Set(choice.parts.map(({ zone }) => zone)).size,
         attempts,
+        isFramed,
         ...timing.summary(),
         events: eventOrder.last,
       }, 'stream completed');
@@ -93,6 +94,7 @@
         req: id,
         target: choice.target.id,
         status: answer.status,
+        isFramed: answer.isFramed,
         attempts,
         ms: Math.round(ms),
       }, 'request answered');
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -1,5 +1,4 @@
 /** Runs one request until it is answered: attempts, retries, resumed streams, deadline. */
-import type { IncomingHttpHeaders } from 'node:http';
 import {
   afterAttempt, newRetryState, nextStep, targetPriorityOf,
   type AttemptEnd, type CancelTimer, type RefusalCode, type StreamEvent,
@@ -7,7 +6,7 @@
 import { recordFailedAttempt } from '../routing/record-failure.js';
 import type { Choice, Selector } from '../routing/selector.js';
 import {
-  startAttempt, type Attempt, type AttemptDeps, type AttemptFailure,
+  startAttempt, type AnswerStart, type Attempt, type AttemptDeps, type AttemptFailure,
 } from './attempt.js';
 import type { CrashWatch } from './crash-watch.js';
 import { createDelivery, type DeliveryDeps } from './delivery.js';
@@ -22,9 +21,10 @@
 import type {
   AnswerSink, RequestRun, RequestSpec, WholeAnswer,
 } from './spec.js';
+import { judgeUnframedEnd, type UnframedEndDeps } from './unframed-end.js';
 
 export interface RunDeps
-  extends AttemptDeps, DeliveryDeps, StreamWatchDeps, RetriesDeps, StarterDeps {
+  extends AttemptDeps, DeliveryDeps, StreamWatchDeps, RetriesDeps, StarterDeps, UnframedEndDeps {
   crashWatch: CrashWatch;
   selector: Selector;
   startQueue: StartQueue;
@@ -173,25 +173,40 @@
     delivery.sendWhole(answer, { choice: choice!, attempts });
   }
 
-  function completed(headers: IncomingHttpHeaders) {
+  function completed(start: AnswerStart) {
     recordSuccess();
     close('completed');
-    delivery.complete(headers, { choice: choice!, attempts });
+    delivery.complete(start, { choice: choice!, attempts });
   }
 
   /** Ends the attempt as failed; `blamed` is the address of the target at fault. */
-  function abandon(reason: string, blamed?: string, attemptEnd: AttemptEnd = 'unknown') {
+  function abandon(
+    reason: string,
+    blamed?: string,
+    attemptEnd: AttemptEnd = 'unknown',
+    isConnectionLost = false,
+  ) {
     if (isOver || !attempt) return;
     failed({
       end: attemptEnd,
       reason,
-      isConnectionLost: false,
+      isConnectionLost,
       isHeldBack: false,
       blamed,
       answer: undefined,
     });
   }
 
+  async function endedUnframed(start: AnswerStart) {
+    const ended = attempt;
+    const verdict = await judgeUnframedEnd({
+      spec, choice: choice!, lastEventId: delivery.lastEventId, attempts,
+    }, deps);
+    if (isOver || attempt !== ended) return;
+    if (verdict === 'complete') completed(start);
+    else abandon('the target is gone after a stream without a length', undefined, 'broken', true);
+  }
+
   const rerouter = createRerouter({
     spec,
     avoid,
@@ -215,9 +230,9 @@
     abandon(isDropped ? 'silent while later streams started' : 'silent without a reported stall');
   }
 
-  function event(next: StreamEvent, headers: IncomingHttpHeaders) {
+  function event(next: StreamEvent, start: AnswerStart) {
     const last = delivery.lastEventId;
-    const verdict = delivery.sendEvent(next, headers);
+    const verdict = delivery.sendEvent(next, start);
     if (verdict === 'repeated') return;
     if (verdict === 'gap') {
       abandon(`gap in the stream: event ${next.id} follows ${last}`, undefined, 'broken');
@@ -288,7 +303,7 @@
       isStream: spec.kind === 'stream',
       dedicatedConnection: spec.kind !== 'idempotent' || attempts > 1,
     }, {
-      answered, event, completed, failed,
+      answered, event, completed, endedUnframed, failed,
     }, deps);
   }
 
--- a/packages/gateway/src/targets/target-exchanger.ts
+++ b/packages/gateway/src/targets/target-exchanger.ts
@@ -71,9 +71,9 @@
   ): Exchange {
     return exchanger.start(address, req, {
       ...handler,
-      head(status, headers) {
+      head(status, headers, isFramed) {
         recordHead(address, status, headers);
-        handler.head(status, headers);
+        handler.head(status, headers, isFramed);
       },
     }, options);
   }
--- a/packages/gateway/src/turns/metered.ts
+++ b/packages/gateway/src/turns/metered.ts
@@ -17,9 +17,9 @@
   cause: string,
 ): Exchanger => ({
   start: (address, req, handler, options) => exchanger.start(address, req, {
-    head: (status, headers) => meter.run(cause, () => handler.head(status, headers)),
+    head: (...head) => meter.run(cause, () => handler.head(...head)),
     data: (chunk) => meter.run(cause, () => handler.data(chunk)),
-    end: (isFramed) => meter.run(cause, () => handler.end(isFramed)),
+    end: () => meter.run(cause, () => handler.end()),
     failed: (err, isSent) => meter.run(cause, () => handler.failed(err, isSent)),
   }, options),
   close: () => exchanger.close(),
--- a/packages/wire/src/exchange.ts
+++ b/packages/wire/src/exchange.ts
@@ -18,14 +18,15 @@
 }
 
 export interface ExchangeHandler {
-  /** The status and headers of the response arrived; informational (1xx) ones are skipped. */
-  head(status: number, headers: IncomingHttpHeaders): void;
-  data(chunk: Buffer): void;
   /**
-   * The response ended. Without a length or chunked encoding (`isFramed` false) it ends when the
-   * connection closes, so only the server knows whether it was complete.
+   * The status and headers of the response arrived; informational (1xx) ones are skipped. Without a
+   * length or chunked encoding (`isFramed` false) the response ends when the connection closes, so
+   * only the server knows whether it was complete.
    */
-  end(isFramed: boolean): void;
+  head(status: number, headers: IncomingHttpHeaders, isFramed: boolean): void;
+  data(chunk: Buffer): void;
+  /** The response ended; one without a length or chunked encoding may have been broken off. */
+  end(): void;
   /** There was no complete response; `sent` tells whether any of the request may have been sent. */
   failed(err: Error, sent: boolean): void;
 }
@@ -146,7 +147,7 @@
           return;
         }
         isFramed = 'content-length' in headers || 'transfer-encoding' in headers;
-        handler.head(status, headers);
+        handler.head(status, headers, isFramed);
       },
       onResponseData(_, chunk) {
         bodyBytes += chunk.length;
@@ -155,7 +156,7 @@
       onResponseEnd() {
         if (!isFramed && connection.hasSocketError) {
           fail(new TargetError(`${address} reset the connection during a response without a length`));
-        } else if (finish(isFramed)) handler.end(isFramed);
+        } else if (finish(isFramed)) handler.end();
       },
       onResponseError(_, err) {
         fail(err);
--- a/test/gateway/order-permit.test.ts
+++ b/test/gateway/order-permit.test.ts
@@ -84,9 +84,9 @@
 
 async function answerReports({ calls }: ReturnType<typeof setUp>) {
   calls.filter(({ path }) => path === '/api/report').forEach(({ handler }) => {
-    handler.head(200, {});
+    handler.head(200, {}, true);
     handler.data(report);
-    handler.end(true);
+    handler.end();
   });
   await new Promise((resolve) => {
     setTimeout(resolve, 20);
