--- /dev/null
+++ b/test/gateway/unframed-streams.test.ts
@@ -0,0 +1,112 @@
+/** Streams without a length or chunks, which end with their connection whether whole or not. */
+import { afterEach, expect, test } from 'vitest';
+import { eventText } from '@verbenashunt/platform/stand-in';
+import type { TargetBehaviour } from '@verbenashunt/platform/stand-in';
+import {
+  startGatewayFixture, streamHeaders, type GatewayFixture, type GatewayFixtureOptions,
+} from '../support/gateway-fixture.js';
+import { callRaw, type RawAnswer } from '../support/raw-caller.js';
+
+let fixture: GatewayFixture;
+
+afterEach(() => fixture.close());
+
+const eventCount = 6;
+const textOf = (count: number) => Array.from({ length: count }, (_, i) => eventText(i + 1)).join('');
+const allEvents = textOf(eventCount);
+const twoChains: [number, number][] = [[0, 8], [0, 8]];
+const resumable = '/chat/x';
+const once = '/once/x';
+
+/** Starts a gateway whose engines all behave in one way. */
+async function start(
+  behaviour: TargetBehaviour,
+  pool = twoChains,
+  options: GatewayFixtureOptions = {},
+) {
+  fixture = await startGatewayFixture({
+    apps: 1, pool, engine: { events: eventCount }, ...options,
+  });
+  fixture.pool.forEach((engine) => Object.assign(engine, { behaviour }));
+  return fixture;
+}
+
+let sequence = 0;
+
+function callStream(path: string): Promise<RawAnswer> {
+  sequence += 1;
+  return callRaw(fixture.gateway.ports.front, {
+    path,
+    headers: {
+      ...streamHeaders, 'request-id': `stream-${sequence}`, 'request-deadline-ms': '3000', authorization: 'Bearer key-1',
+    },
+    body: 'prompt',
+  });
+}
+
+const runs = () => fixture.pool.flatMap(({ ran }) => ran);
+
+test.each([
+  'unframed-short', 'unframed-empty', 'unframed-restart', 'unframed-stream',
+] as const)('a resumable unframed stream reaches its caller whole and marked as whole: %s', async (behaviour) => {
+  await start(behaviour);
+  expect(await callStream(resumable)).toEqual({
+    status: 200, framing: 'chunked', body: allEvents, isEnded: true,
+  });
+  expect(runs()).toHaveLength(2);
+});
+
+test('an unframed stream that a restarted target had broken off is resumed on the only chain', async () => {
+  await start('unframed-restart', [[0, 8]]);
+  expect(await callStream(resumable)).toMatchObject({ body: allEvents, isEnded: true });
+  expect(runs().map(({ headers }) => headers['last-event-id'])).toEqual([undefined, '1']);
+});
+
+test('a stream that broke off and went on unframed at another target is not marked as whole', async () => {
+  await start('unframed-short-again');
+  const answer = await callStream(resumable);
+  expect(answer).toMatchObject({ framing: 'chunked', body: textOf(2), isEnded: false });
+});
+
+test.each([
+  ['unframed-short', 2], ['unframed-stream', eventCount],
+] as const)('an unframed stream that may not be resumed ends for its caller as it did for its target: %s', async (behaviour, count) => {
+  await start(behaviour);
+  expect(await callStream(once)).toEqual({
+    status: 200, framing: 'connection', body: textOf(count), isEnded: true,
+  });
+  expect(runs()).toHaveLength(1);
+});
+
+test.each([
+  'unframed-restart', 'unframed-crash', 'unframed-half',
+] as const)('an unframed stream that may not be resumed is reset when it has been broken off: %s', async (behaviour) => {
+  await start(behaviour);
+  expect(await callStream(once)).toEqual({
+    status: 200, framing: 'connection', body: textOf(1), isEnded: false,
+  });
+  expect(runs()).toHaveLength(1);
+});
+
+test('an unframed stream that may not be resumed is reset when a later stage was lost', async () => {
+  await start('unframed-short', [[0, 4], [4, 8]]);
+  await fixture.pool[1]!.close();
+  expect(await callStream(once)).toMatchObject({ framing: 'connection', isEnded: false });
+});
+
+test('an unframed stream without any event is no answer', async () => {
+  await start('unframed-empty');
+  const answer = await callStream(once);
+  expect(answer.status).toBe(502);
+  expect(JSON.parse(answer.body).error).toMatchObject({ ran: 'unknown' });
+  expect(runs()).toHaveLength(1);
+});
+
+test('all unframed streams of a busy service are delivered within the retry budget', async () => {
+  const retries = { ratio: 0.2, extra: 10, windowMs: 10_000 };
+  await start('unframed-stream', twoChains, { gateway: { retries } });
+  const answers = await Promise.all(Array.from({ length: 60 }, () => callStream(resumable)));
+  expect(answers.map(({ body }) => body)).toEqual(Array(60).fill(allEvents));
+  expect(answers.every(({ isEnded }) => isEnded)).toBe(true);
+  expect(runs().length - 60).toBeLessThanOrEqual(retries.extra + retries.ratio * 60);
+});
