Pass streams that may not be resumed on without framing if they came without it

Callers saw a doubtful end as a sure one: a stream without a length or chunks ends with its connection, whether its target had sent all of it or not, and the entry put its own last chunk behind it. Nothing can settle such an end where the stream may not run again, so the caller now gets what the target gave: no framing, an orderly end if the target ended it in order, a reset if the stream is known to have been broken off (a plain close would look whole).

--- a/packages/gateway/src/http/answer-sink.ts
+++ b/packages/gateway/src/http/answer-sink.ts
@@ -1,24 +1,20 @@
 /** Adapts the HTTP response to a caller to the sink that a request run writes its answer to. */
 import type { ServerResponse } from 'node:http';
-import { openStream } from '@verbenashunt/wire';
+import { abortResponse, endByClosing, openStream } from '@verbenashunt/wire';
 import type { CallerProtocol } from '../ports.js';
 import type { AnswerSink } from '../requests/spec.js';
 
 /** Maximum number of bytes of an answer that are buffered for a slow caller. */
 const maxBacklogBytes = 1024 * 1024;
 
-/** Makes an answer end with its connection, without Content-Length or chunked encoding. */
-function endByClosing(res: ServerResponse): ServerResponse {
-  res.shouldKeepAlive = false;
-  res.useChunkedEncodingByDefault = false;
-  return res;
-}
-
 export function createAnswerSink(
   res: ServerResponse,
   callers: CallerProtocol,
   requestId: string,
 ): AnswerSink {
+  /** Whether the end of a stream is marked in the answer. */
+  let isMarked = true;
+
   return {
     sendWhole({
       status, headers, body, isFramed,
@@ -29,12 +25,18 @@
       else endByClosing(res).writeHead(status, responseHeaders);
       res.end(body);
     },
-    open: (status, headers) => openStream(res, {
-      status, headers: callers.answerHeaders(headers), encoding: 'latin1',
-    }, maxBacklogBytes, () => {}),
+    open({ status, headers, isFramed }) {
+      isMarked = isFramed;
+      return openStream(res, {
+        status, headers: callers.answerHeaders(headers), encoding: 'latin1', isFramed,
+      }, maxBacklogBytes, () => {});
+    },
     refuse(refusal) {
       if (!res.destroyed) callers.refuse(res, refusal, requestId);
     },
-    cutOff: () => res.destroy(),
+    cutOff() {
+      if (isMarked) res.destroy();
+      else abortResponse(res);
+    },
   };
 }
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -1,11 +1,10 @@
 /** Sends one attempt of a request to a target and classifies the outcome. */
-import type { IncomingHttpHeaders } from 'node:http';
 import {
   createEventSplitter, isHeldBack, type AttemptEnd, type StreamEvent,
 } from '@verbenashunt/core';
 import type { Exchange, Exchanger } from '@verbenashunt/wire';
 import type { AttemptRequest, TargetProtocol } from '../ports.js';
-import type { WholeAnswer } from './spec.js';
+import type { AnswerStart, WholeAnswer } from './spec.js';
 
 export interface AttemptDeps {
   exchanger: Exchanger;
@@ -34,14 +33,6 @@
   reason: string;
 }
 
-/** Status and headers of an answer. */
-export interface AnswerStart {
-  status: number;
-  headers: IncomingHttpHeaders;
-  /** Whether it has a length or chunked encoding, which shows where it ends. */
-  isFramed: boolean;
-}
-
 export interface AttemptHandler {
   /** Called with a complete answer that is not an event stream. */
   answered(answer: WholeAnswer): void;
--- a/packages/gateway/src/requests/delivery.ts
+++ b/packages/gateway/src/requests/delivery.ts
@@ -5,12 +5,11 @@
 } from '@verbenashunt/core';
 import type { RequestMetrics } from '../metrics.js';
 import type { Choice, Selector } from '../routing/selector.js';
-import type { AnswerStart } from './attempt.js';
 import type { RequestLog } from './request-log.js';
 import { queueAccountOf, queueFieldsOf, type StartQueue } from './start-queue.js';
 import { createStreamTiming } from './stream-timing.js';
 import type {
-  AnswerSink, AnswerWriter, RequestSpec, WholeAnswer,
+  AnswerSink, AnswerStart, AnswerWriter, RequestSpec, WholeAnswer,
 } from './spec.js';
 
 export interface DeliveryDeps extends RequestMetrics {
@@ -64,24 +63,24 @@
     get lastEventId() {
       return eventOrder.last;
     },
-    sendEvent(next, { headers }) {
+    sendEvent(next, start) {
       const verdict = eventOrder.accept(next);
       if (verdict === 'repeated' || verdict === 'gap') return verdict;
       const firstMs = timing.event();
       if (firstMs !== undefined) deps.firstByteSent(firstMs);
-      writer ??= sink.open(200, headers);
+      writer ??= sink.open(start);
       writer.write(next.bytes.toString('latin1'));
       return 'sent';
     },
-    complete({ headers, isFramed }, { choice, attempts }) {
-      writer ??= sink.open(200, headers);
+    complete(start, { choice, attempts }) {
+      writer ??= sink.open(start);
       log.info({
         req: id,
         target: choice.target.id,
         stages: choice.parts.length,
         zones: new Set(choice.parts.map(({ zone }) => zone)).size,
         attempts,
-        isFramed,
+        isFramed: start.isFramed,
         ...timing.summary(),
         events: eventOrder.last,
       }, 'stream completed');
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -1,12 +1,12 @@
 /** Runs one request until it is answered: attempts, retries, resumed streams, deadline. */
 import {
-  afterAttempt, newRetryState, nextStep, targetPriorityOf,
+  afterAttempt, mayRepeat, newRetryState, nextStep, targetPriorityOf,
   type AttemptEnd, type CancelTimer, type RefusalCode, type StreamEvent,
 } from '@verbenashunt/core';
 import { recordFailedAttempt } from '../routing/record-failure.js';
 import type { Choice, Selector } from '../routing/selector.js';
 import {
-  startAttempt, type AnswerStart, type Attempt, type AttemptDeps, type AttemptFailure,
+  startAttempt, type Attempt, type AttemptDeps, type AttemptFailure,
 } from './attempt.js';
 import type { CrashWatch } from './crash-watch.js';
 import { createDelivery, type DeliveryDeps } from './delivery.js';
@@ -19,7 +19,7 @@
 import type { StartQueue } from './start-queue.js';
 import { watchStream, type StreamWatchDeps } from './stream-watch.js';
 import type {
-  AnswerSink, RequestRun, RequestSpec, WholeAnswer,
+  AnswerSink, AnswerStart, RequestRun, RequestSpec, WholeAnswer,
 } from './spec.js';
 import { judgeUnframedEnd, type UnframedEndDeps } from './unframed-end.js';
 
@@ -230,9 +230,14 @@
     abandon(isDropped ? 'silent while later streams started' : 'silent without a reported stall');
   }
 
+  /** The caller's answer marks its end only if another run can show that the stream is whole. */
+  const answerStartOf = (start: AnswerStart): AnswerStart => ({
+    ...start, isFramed: start.isFramed || mayRepeat(spec),
+  });
+
   function event(next: StreamEvent, start: AnswerStart) {
     const last = delivery.lastEventId;
-    const verdict = delivery.sendEvent(next, start);
+    const verdict = delivery.sendEvent(next, answerStartOf(start));
     if (verdict === 'repeated') return;
     if (verdict === 'gap') {
       abandon(`gap in the stream: event ${next.id} follows ${last}`, undefined, 'broken');
--- a/packages/gateway/src/requests/spec.ts
+++ b/packages/gateway/src/requests/spec.ts
@@ -24,18 +24,22 @@
   expiresAt: number;
 }
 
-/** A complete answer of a target. */
-export interface WholeAnswer {
+/** Status and headers of an answer. */
+export interface AnswerStart {
   status: number;
   headers: IncomingHttpHeaders;
-  body: Buffer;
   /**
-   * Whether it had a length or chunked encoding. If not, only the target knows whether it is
-   * complete, so it is passed on without either.
+   * Whether its end is marked, by a length or chunked encoding. If not, only its sender knows
+   * whether it is complete, so it is passed on without either.
    */
   isFramed: boolean;
 }
 
+/** A complete answer of a target. */
+export interface WholeAnswer extends AnswerStart {
+  body: Buffer;
+}
+
 /** Passes an answer on as it arrives; each character of a text is one byte (latin1). */
 export interface AnswerWriter {
   write(text: string): void;
@@ -49,7 +53,7 @@
 export interface AnswerSink {
   sendWhole(answer: WholeAnswer): void;
   /** Starts a streamed answer. */
-  open(status: number, headers: IncomingHttpHeaders): AnswerWriter;
+  open(start: AnswerStart): AnswerWriter;
   refuse(refusal: Refusal): void;
   /** Closes the caller's connection, so that the answer does not look complete. */
   cutOff(): void;
--- a/packages/wire/src/http/stream.ts
+++ b/packages/wire/src/http/stream.ts
@@ -1,5 +1,6 @@
 /** Writes streamed HTTP responses to clients that may read slower than the stream is produced. */
 import type { OutgoingHttpHeaders, ServerResponse } from 'node:http';
+import { abortConnection } from './abort.js';
 
 export interface StreamWriter {
   write(text: string): void;
@@ -28,6 +29,22 @@
   headers: OutgoingHttpHeaders;
   /** Encoding of the text passed to the writer. */
   encoding: BufferEncoding;
+  /** Whether to use chunked encoding, the default; without it the connection ends the response. */
+  isFramed?: boolean;
+}
+
+/** Makes a response end with its connection, without Content-Length or chunked encoding. */
+export function endByClosing(res: ServerResponse): ServerResponse {
+  res.shouldKeepAlive = false;
+  res.useChunkedEncodingByDefault = false;
+  return res;
+}
+
+/** Closes the connection of a response that is not complete, so that it does not look complete. */
+export function abortResponse(res: ServerResponse) {
+  // An earlier response occupies the connection if there is no socket; nothing was sent then.
+  if (res.socket) abortConnection(res.socket);
+  res.destroy();
 }
 
 /**
@@ -37,20 +54,24 @@
  */
 export function openStream(
   res: ServerResponse,
-  { status, headers, encoding }: StreamHead,
+  {
+    status, headers, encoding, isFramed = true,
+  }: StreamHead,
   maxBacklogBytes: number,
   onSlowReader: () => void,
 ): StreamWriter {
   /** Encodes a chunk of a chunked body as one string, so that it takes a single write. */
   const encodeChunk = (text: string) => `${Buffer.byteLength(text, encoding).toString(hexRadix)}\r\n${text}\r\n`;
+  const encode = isFramed ? encodeChunk : (text: string) => text;
   const { socket } = res;
   socket?.cork();
-  res.writeHead(status, { ...headers, 'transfer-encoding': 'chunked' });
+  if (isFramed) res.writeHead(status, { ...headers, 'transfer-encoding': 'chunked' });
+  else endByClosing(res).writeHead(status, headers);
   res.flushHeaders();
   // Corked, so that the head is sent together with the first chunk.
   if (socket) process.nextTick(() => socket.uncork());
   const send = socket
-    ? (text: string) => socket.write(encodeChunk(text), encoding)
+    ? (text: string) => socket.write(encode(text), encoding)
     : (text: string) => res.write(text, encoding);
 
   let pending = '';
@@ -62,7 +83,7 @@
     send(text);
     if (res.writableLength <= maxBacklogBytes) return;
     onSlowReader();
-    res.destroy();
+    abortResponse(res);
   }
 
   return {
