Ask for the incarnation before an unframed stream counts as whole, of each target of its chain

Callers got streams as whole that had been broken off: whether the end of a stream without a length or chunks was its target's own was judged by one question, does its address accept a connection now. A target that crashed and is back answers yes, as do another target at the address and a first target that cut the stream off because a later stage was lost. Each target of the chain is now asked for its report by id on a connection of its own, and its start must be that of the process that was asked; one without reports must be listed as that process and accept connections.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -32,6 +32,7 @@
 export * from './routing/admission.js';
 export * from './requests/request-log.js';
 export * from './routing/load-monitor.js';
+export * from './routing/same-incarnation.js';
 export * from './routing/selector.js';
 export * from './targets/rate-limiter.js';
 export * from './targets/target-exchanger.js';
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -152,6 +152,8 @@
   busy: boolean;
   /** Number of orders accepted since the target started. */
   orders: number;
+  /** Start of its process in Unix milliseconds; undefined when not reported. */
+  startedAt: number | undefined;
   held: HeldRange | undefined;
   /** Name of the accelerator kind; undefined if not reported. */
   kind: string | undefined;
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -199,12 +199,13 @@
 
   async function endedUnframed(start: AnswerStart) {
     const ended = attempt;
+    cancelWatch();
     const verdict = await judgeUnframedEnd({
       spec, choice: choice!, lastEventId: delivery.lastEventId, attempts,
     }, deps);
     if (isOver || attempt !== ended) return;
     if (verdict === 'complete') completed(start);
-    else abandon('the target is gone after a stream without a length', undefined, 'broken', true);
+    else abandon('a target was lost before a stream without a length ended', undefined, 'broken', true);
   }
 
   const rerouter = createRerouter({
--- a/packages/gateway/src/requests/unframed-end.ts
+++ b/packages/gateway/src/requests/unframed-end.ts
@@ -2,16 +2,16 @@
  * Judges the end of a stream that came without a length or chunked encoding. It ends when its
  * connection is closed, whether the target had sent all of it or not.
  */
-import { incarnationOf, type ServingTarget } from '@verbenashunt/core';
+import { incarnationOf } from '@verbenashunt/core';
 import type { RequestMetrics } from '../metrics.js';
+import { isSameIncarnation, type IncarnationDeps } from '../routing/same-incarnation.js';
 import type { Choice } from '../routing/selector.js';
 import type { RequestLog } from './request-log.js';
 import type { RequestSpec } from './spec.js';
 
-export interface UnframedEndDeps extends Pick<RequestMetrics, 'unframedStreamEnded'> {
+export interface UnframedEndDeps
+  extends IncarnationDeps, Pick<RequestMetrics, 'unframedStreamEnded'> {
   log: RequestLog;
-  /** Whether a target accepts a connection. */
-  isReachable(target: ServingTarget): Promise<boolean>;
 }
 
 export interface UnframedEnd {
@@ -26,21 +26,28 @@
 
 export type UnframedVerdict = 'complete' | 'broken';
 
+/**
+ * A stream counts as broken off if any target of its chain has ended since, as a first target that
+ * lives on ends the streams of a stage that was lost.
+ */
 export async function judgeUnframedEnd(
   end: UnframedEnd,
   deps: UnframedEndDeps,
 ): Promise<UnframedVerdict> {
-  const { target } = end.choice;
-  const isReachable = await deps.isReachable(target);
-  const verdict = isReachable ? 'complete' : 'broken';
+  const { spec, choice } = end;
+  const isEngine = spec.service.engine !== undefined;
+  const checks = await Promise.all(choice.parts
+    .map((target) => isSameIncarnation(target, isEngine, deps)));
+  const lost = choice.parts.filter((_, i) => !checks[i]).map(({ id }) => id);
+  const verdict = lost.length === 0 ? 'complete' : 'broken';
   deps.unframedStreamEnded(verdict);
   deps.log.info({
-    req: end.spec.caller.id,
-    target: target.id,
-    incarnation: incarnationOf(target),
+    req: spec.caller.id,
+    target: choice.target.id,
+    incarnation: incarnationOf(choice.target),
     last: end.lastEventId,
     attempts: end.attempts,
-    isReachable,
+    lost,
     verdict,
   }, 'unframed stream ended');
   return verdict;
