Settle the end of an unframed stream by another run, or leave it as doubtful as it came

Callers got 200, a part of the stream and the last chunk when a target that lived on ended a stream without a length or chunks in order before its last event, or before its first: nothing that the entry can ask shows such an end.

A stream without any event is no answer now. Where the stream may be resumed, another target is asked for what follows the last event: if it sends events the stream was not whole and goes on, if it marks its end or ends at the same event the stream is whole. That run is an attempt and a retry like others, takes no budget from streams that are known to be broken off (not while retries are scarce), and does not wait for it. Where no run can settle the end, as attempts, budget or the route don't allow it, the caller's answer has no framing either; one already begun in chunks is cut off, and may be resumed by its caller.

Two older tests of unframed streams asked for the doubtful end itself: one run of a whole stream, and a last chunk after the last attempt. They now ask for the same whole answers with the runs that settle them: two, and three where the route allows three attempts.

--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -11,6 +11,7 @@
 export * from './retry-decision.js';
 export * from './retry-loans.js';
 export * from './retry-window.js';
+export * from './stream-end.js';
 export * from './target-pauses.js';
 export * from './target-rate-limits.js';
 export * from './targets.js';
--- a/packages/core/src/serving/retry-decision.ts
+++ b/packages/core/src/serving/retry-decision.ts
@@ -11,8 +11,9 @@
  * - `unknown`: the request was sent, but no usable answer arrived.
  * - `failed`: the target ran the request and answered with an error.
  * - `broken`: the answer started and was cut short.
+ * - `unsettled`: the stream ended without a sign of whether it was whole.
  */
-export type AttemptEnd = 'unsent' | 'not_run' | 'unknown' | 'failed' | 'broken';
+export type AttemptEnd = 'unsent' | 'not_run' | 'unknown' | 'failed' | 'broken' | 'unsettled';
 
 export interface RetryPolicy {
   kind: RequestKind;
--- a/packages/gateway/src/requests/retries.ts
+++ b/packages/gateway/src/requests/retries.ts
@@ -39,6 +39,11 @@
   hasTime(): boolean;
   /** Chooses where to retry; undefined when no time, target or retry budget is left. */
   choose(attemptEnd: AttemptEnd): Choice | undefined;
+  /**
+   * Whether another run may show that a stream of the current attempt is whole. Not while retries
+   * are scarce, as those of streams that are known to be broken off come first.
+   */
+  maySettle(): boolean;
   /** Whether a new attempt could continue the stream on a chain within one zone. */
   canResume(without: ReadonlySet<string>): boolean;
   /**
@@ -59,6 +64,7 @@
 
   const hasTime = () => request.timeLeftMs() >= minAttemptTimeMs;
   const isDelivered = () => request.state().delivered;
+  const isLastAttempt = () => request.state().ran + 1 >= spec.maxAttempts;
 
   function pay(): boolean {
     isPaid ||= retries.withdraw(isDelivered());
@@ -85,9 +91,10 @@
       // After `unsent` no target received the request, so the retry adds no load and is free.
       return next && (attemptEnd === 'unsent' || pay()) ? next : undefined;
     },
+    maySettle: () => mayRepeat(spec) && !isLastAttempt()
+      && !retries.isScarce() && retries.canWithdraw(true),
     canResume(without) {
-      const isLastAttempt = request.state().ran + 1 >= spec.maxAttempts;
-      if (!mayRepeat(spec) || isLastAttempt || !hasTime()) return false;
+      if (!mayRepeat(spec) || isLastAttempt() || !hasTime()) return false;
       const other = selector.choose(spec, without);
       return other !== undefined && selector.isInSingleZone(other)
         && selector.hasFreeKvMemory(spec, other) && retries.canWithdraw(isDelivered());
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -1,6 +1,6 @@
 /** Runs one request until it is answered: attempts, retries, resumed streams, deadline. */
 import {
-  afterAttempt, mayRepeat, newRetryState, nextStep, targetPriorityOf,
+  afterAttempt, newRetryState, nextStep, targetPriorityOf,
   type AttemptEnd, type CancelTimer, type RefusalCode, type StreamEvent,
 } from '@verbenashunt/core';
 import { recordFailedAttempt } from '../routing/record-failure.js';
@@ -49,6 +49,8 @@
   let isOver = false;
   /** Time of the last event, or since when one is expected. */
   let quietSince = spec.arrivedAt;
+  /** Last event of the caller when a run ended without a sign of whether the stream was whole. */
+  let earlierEndId: number | undefined;
   /** Progress of the current attempt; undefined for a call that is not a stream. */
   let progress: StreamProgress | undefined;
 
@@ -112,8 +114,10 @@
     if (isOver || ending.endIfPoison()) return;
     const { end: attemptEnd } = failure;
     const shouldRetry = nextStep(spec, retryState, attemptEnd, true).do === 'try';
-    // The caller keeps the part that it has received, so the stream may wait for a new chain.
-    if (shouldRetry && retryState.delivered && retries.hasTime()) {
+    // The caller keeps the part that it has received, so the stream may wait for a new chain. One
+    // that may be whole does not wait for retry budget.
+    const mayWait = attemptEnd !== 'unsettled' || retries.canPay();
+    if (shouldRetry && retryState.delivered && retries.hasTime() && mayWait) {
       if (attemptEnd === 'not_run') deps.resumeQueue.refused();
       cancelTimer = retries.resumeLater();
       return;
@@ -200,12 +204,22 @@
   async function endedUnframed(start: AnswerStart) {
     const ended = attempt;
     cancelWatch();
+    const { lastEventId, isFramed: isAnswerFramed } = delivery;
     const verdict = await judgeUnframedEnd({
-      spec, choice: choice!, lastEventId: delivery.lastEventId, attempts,
+      spec,
+      choice: choice!,
+      attempts,
+      hasEvents: retryState.delivered || lastEventId !== undefined,
+      lastEventId,
+      earlierEndId,
+      isAnswerFramed,
     }, deps);
     if (isOver || attempt !== ended) return;
     if (verdict === 'complete') completed(start);
-    else abandon('a target was lost before a stream without a length ended', undefined, 'broken', true);
+    else if (verdict === 'unsettled') {
+      earlierEndId = lastEventId;
+      abandon('nothing shows whether the stream is whole', undefined, 'unsettled');
+    } else abandon('a target was lost before a stream without a length ended', undefined, 'broken', true);
   }
 
   const rerouter = createRerouter({
@@ -233,7 +247,7 @@
 
   /** The caller's answer marks its end only if another run can show that the stream is whole. */
   const answerStartOf = (start: AnswerStart): AnswerStart => ({
-    ...start, isFramed: start.isFramed || mayRepeat(spec),
+    ...start, isFramed: start.isFramed || retries.maySettle(),
   });
 
   function event(next: StreamEvent, start: AnswerStart) {
--- a/packages/gateway/src/requests/unframed-end.ts
+++ b/packages/gateway/src/requests/unframed-end.ts
@@ -2,7 +2,7 @@
  * Judges the end of a stream that came without a length or chunked encoding. It ends when its
  * connection is closed, whether the target had sent all of it or not.
  */
-import { incarnationOf } from '@verbenashunt/core';
+import { incarnationOf, meaningOfUnframedEnd, type UnframedEnd } from '@verbenashunt/core';
 import type { RequestMetrics } from '../metrics.js';
 import { isSameIncarnation, type IncarnationDeps } from '../routing/same-incarnation.js';
 import type { Choice } from '../routing/selector.js';
@@ -14,32 +14,35 @@
   log: RequestLog;
 }
 
-export interface UnframedEnd {
+/** A stream whose connection was closed in order after a whole event, or without any. */
+export interface EndedStream extends UnframedEnd {
   spec: RequestSpec;
-  /** Targets that ran the stream. */
+  /** Targets that ran it. */
   choice: Choice;
-  /** Id of the last event that the caller has received; undefined if there is none. */
-  lastEventId: number | undefined;
   /** Number of attempts, this one included. */
   attempts: number;
 }
 
-export type UnframedVerdict = 'complete' | 'broken';
+export type UnframedVerdict = 'complete' | 'unsettled' | 'broken';
 
 /**
  * A stream counts as broken off if any target of its chain has ended since, as a first target that
- * lives on ends the streams of a stage that was lost.
+ * lives on ends the streams of a stage that was lost. One that another run settles needs the check
+ * of its first target only, which shows a crash.
  */
 export async function judgeUnframedEnd(
-  end: UnframedEnd,
+  end: EndedStream,
   deps: UnframedEndDeps,
 ): Promise<UnframedVerdict> {
   const { spec, choice } = end;
+  const meaning = meaningOfUnframedEnd(end);
   const isEngine = spec.service.engine !== undefined;
-  const checks = await Promise.all(choice.parts
+  const checked = meaning === 'as_whole' ? choice.parts : [choice.target];
+  const checks = await Promise.all(checked
     .map((target) => isSameIncarnation(target, isEngine, deps)));
-  const lost = choice.parts.filter((_, i) => !checks[i]).map(({ id }) => id);
-  const verdict = lost.length === 0 ? 'complete' : 'broken';
+  const lost = checked.filter((_, i) => !checks[i]).map(({ id }) => id);
+  const verdictIfUnharmed = meaning === 'as_whole' ? 'complete' : meaning;
+  const verdict = lost.length === 0 ? verdictIfUnharmed : 'broken';
   deps.unframedStreamEnded(verdict);
   deps.log.info({
     req: spec.caller.id,
--- a/packages/gateway/src/routing/record-failure.ts
+++ b/packages/gateway/src/routing/record-failure.ts
@@ -11,7 +11,10 @@
   blamed: string | undefined;
 }
 
-/** Returns the id of the target at fault; undefined, with nothing recorded, if it is unknown. */
+/**
+ * Returns the id of the target at fault; undefined if it is unknown. An unsettled end is held
+ * against nobody, but the stream goes on elsewhere.
+ */
 export function recordFailedAttempt(
   selector: Selector,
   attempt: FailedAttempt,
@@ -22,6 +25,7 @@
     : selector.targetAt(attempt.service, blamed)?.id;
   if (targetId === undefined) return undefined;
   const isBlamed = blamed !== undefined;
+  if (end === 'unsettled') return targetId;
   if (end === 'unsent') selector.recordFailure(targetId);
   else if (end === 'not_run' || isBlamed) selector.recordRefusal(targetId, isBlamed);
   else selector.recordError(targetId);
--- a/test/gateway/streams.test.ts
+++ b/test/gateway/streams.test.ts
@@ -80,18 +80,28 @@
   expect(refused).toBeLessThan(40);
 });
 
-test('a stream without a length or chunks ends with its connection', async () => {
+test('a stream without a length or chunks is whole when another run finds no event after its last', async () => {
   const setup = await start({ pool: [[0, 8], [0, 8]], engine: { events: eventCount } });
   setup.pool.forEach((engine) => Object.assign(engine, { behaviour: 'unframed-stream' }));
   expect(await setup.stream()).toMatchObject({ status: 200, body: allEvents, isComplete: true });
-  expect(setup.pool.flatMap(({ ran }) => ran)).toHaveLength(1);
+  expect(setup.pool.map(({ ran }) => ran.length)).toEqual([1, 1]);
+  const lastIds = setup.pool.map(({ ran }) => ran[0]!.headers['last-event-id']);
+  expect(lastIds.sort()).toEqual([String(eventCount), undefined]);
 });
 
+/** Routes with one attempt more: to resume a broken stream, and to find that it is whole. */
+const threeAttempts = {
+  routes: operatorConfig(1).routes.map((route) => ({ ...route, maxAttempts: 3 })),
+};
+
 test.each(['unframed-half', 'unframed-crash'] as const)('a stream without a length or chunks is resumed if it breaks off: %s', async (behaviour) => {
-  const setup = await start({ pool: [[0, 8], [0, 8]], engine: { events: eventCount } });
+  const setup = await start({
+    pool: [[0, 8], [0, 8]], engine: { events: eventCount }, config: threeAttempts,
+  });
   setup.pool.forEach((engine) => Object.assign(engine, { behaviour }));
   expect(await setup.stream()).toMatchObject({ status: 200, body: allEvents, isComplete: true });
-  expect(setup.pool.flatMap(({ ran }) => ran)).toHaveLength(2);
+  const lastIds = setup.pool.flatMap(({ ran }) => ran.map(({ headers }) => headers['last-event-id']));
+  expect(lastIds.sort()).toEqual(['1', String(eventCount), undefined]);
 });
 
 test('a stream that waits for a dead stage is rerouted around it', async () => {
--- a/test/gateway/unframed-streams.test.ts
+++ b/test/gateway/unframed-streams.test.ts
@@ -47,7 +47,7 @@
 const runs = () => fixture.pool.flatMap(({ ran }) => ran);
 
 test.each([
-  'unframed-short', 'unframed-empty', 'unframed-restart', 'unframed-stream',
+  'unframed-short', 'unframed-restart', 'unframed-stream',
 ] as const)('a resumable unframed stream reaches its caller whole and marked as whole: %s', async (behaviour) => {
   await start(behaviour);
   expect(await callStream(resumable)).toEqual({
@@ -56,6 +56,15 @@
   expect(runs()).toHaveLength(2);
 });
 
+test('resumable streams are whole although a target ends its streams unframed without any event', async () => {
+  await start('answer');
+  const [faulty] = fixture.pool;
+  faulty!.behaviour = 'unframed-empty';
+  const answers = await Promise.all(Array.from({ length: 8 }, () => callStream(resumable)));
+  expect(answers.map(({ body }) => body)).toEqual(Array(8).fill(allEvents));
+  expect(faulty!.ran.length).toBeGreaterThan(0);
+});
+
 test('an unframed stream that a restarted target had broken off is resumed on the only chain', async () => {
   await start('unframed-restart', [[0, 8]]);
   expect(await callStream(resumable)).toMatchObject({ body: allEvents, isEnded: true });
