Cut a begun stream off when the target that is to go on answers with anything but a stream

Found while looking for other ends of streams: a resumed stream whose next target answers with a whole answer, such as a 404, was taken as answered. Its headers had been sent, so sending the answer threw inside the HTTP client, the run was already closed, and its caller waited on an open connection for good (the test timed out at 60 s). Such an answer now counts as a broken attempt: the stream goes on elsewhere or is cut off.

--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -14,6 +14,8 @@
 export interface AttemptOptions {
   /** Whether the request asks for an event stream. */
   isStream: boolean;
+  /** Whether the caller has received a part of the answer, which only a stream can continue. */
+  isContinuation: boolean;
   /** Whether to open a new connection, on which no answer to an earlier request can arrive. */
   dedicatedConnection: boolean;
 }
@@ -102,6 +104,7 @@
     if (notRunStatuses.has(answer.status)) {
       fail('unknown', `status ${answer.status} without a word on whether it ran`);
     } else if (answer.status >= minServerError) fail('failed', `status ${answer.status}`, { answer });
+    else if (options.isContinuation) fail('broken', `status ${answer.status} instead of the rest of a stream`);
     else {
       isOver = true;
       handler.answered(answer);
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -321,6 +321,7 @@
       lastEventId: delivery.lastEventId,
     }, {
       isStream: spec.kind === 'stream',
+      isContinuation: retryState.delivered,
       dedicatedConnection: spec.kind !== 'idempotent' || attempts > 1,
     }, {
       answered, event, completed, endedUnframed, failed,
--- a/test/gateway/streams.test.ts
+++ b/test/gateway/streams.test.ts
@@ -49,6 +49,14 @@
   expect(setup.pool.flatMap(({ ran }) => ran)).toHaveLength(1);
 });
 
+test('a begun stream is cut off when the target that is to go on answers with anything but a stream', async () => {
+  const setup = await start({ pool: twoChains, engine: { events: eventCount } });
+  setup.pool.forEach((engine) => Object.assign(engine, { behaviour: 'half-unknown' }));
+  const answer = await setup.stream();
+  expect(answer).toMatchObject({ body: eventText(1) + eventText(2), isComplete: false });
+  expect(setup.pool.flatMap(({ ran }) => ran)).toHaveLength(2);
+});
+
 test('the answer is cut off when a stream breaks a second time, as attempts are limited', async () => {
   const setup = await start({ pool: twoChains, engine: { events: eventCount } });
   setup.pool.forEach((engine) => Object.assign(engine, { behaviour: 'half-again' }));
