Tell a reset from an end in agents, and keep answers to calls as framed as they came

Callers of the own mode got half of an answer as a whole one: the agent's HTTP client takes a reset during an answer without a length or chunks as its end, and the entry gave the half a length. Agents now use the exchanges that the gateway uses, which tell the two apart; a call that may not be repeated gets a connection of its own, on which no late copy of an earlier answer can come. An answer that ended in order without framing is passed on, and kept for its idempotency key, as unframed. The flag is sent only where it is false, so that older entries read all other results; they reject these. HEAD, 204 and 304 count as framed, as they have no body.

--- a/packages/agent/src/targets/service-target.ts
+++ b/packages/agent/src/targets/service-target.ts
@@ -1,10 +1,12 @@
 /** HTTP client for the service that this agent fronts. */
-import { Pool } from 'undici';
+import type { IncomingHttpHeaders } from 'node:http';
 import { TargetError } from '@verbenashunt/core';
 import type { Call, CallResult } from '@verbenashunt/schema';
-import { connectionHeaders } from '@verbenashunt/wire';
+import { connectionHeaders, createExchanger, exchangeOnce } from '@verbenashunt/wire';
 
-const maxConnections = 64;
+const connectTimeoutMs = 10_000;
+/** Idle time in milliseconds after which a connection is not reused. */
+const keepAliveMs = 4000;
 const maxResponseBytes = 4 * 1024 * 1024;
 
 /** Headers that are not forwarded: those of a single connection and the caller's credentials. */
@@ -13,46 +15,46 @@
 export interface ServiceTarget {
   /**
    * Sends one HTTP request and never retries it. Rejects with TargetError without a complete
-   * response.
+   * response, also if the connection was reset during one that has no length or chunks.
    */
   call(call: Call, signal: AbortSignal): Promise<CallResult>;
   close(): Promise<void>;
 }
 
-const forwardedHeaders = (
-  headers: Record<string, string | string[] | undefined>,
-) => Object.fromEntries(
+const forwardedHeaders = (headers: IncomingHttpHeaders) => Object.fromEntries(
   Object.entries(headers)
     .filter(([name]) => !droppedHeaders.has(name.toLowerCase()))
     .map(([name, value]) => [name, Array.isArray(value) ? value.join(', ') : String(value)]),
 );
 
 export function createServiceTarget(url: string): ServiceTarget {
-  const pool = new Pool(url, { connections: maxConnections, maxResponseSize: maxResponseBytes });
+  const { host, protocol } = new URL(url);
+  const exchanger = createExchanger({
+    protocol: protocol === 'https:' ? 'https' : 'http', connectTimeoutMs, keepAliveMs,
+  });
+
   return {
     async call({
-      method, path, headers, body, timeLeftMs,
+      method, path, headers, body, timeLeftMs, repeatable,
     }, signal) {
-      try {
-        const res = await pool.request({
-          method,
-          path,
-          headers: forwardedHeaders(headers),
-          body: body === '' ? null : Buffer.from(body, 'base64'),
-          // Stops undici from pipelining the request behind another one.
-          idempotent: false,
-          signal: AbortSignal.any([
-            signal, AbortSignal.timeout(Math.max(1, Math.ceil(timeLeftMs))),
-          ]),
-        });
-        const bytes = Buffer.from(await res.body.arrayBuffer());
-        return {
-          status: res.statusCode, headers: forwardedHeaders(res.headers), body: bytes.toString('base64'),
-        };
-      } catch (err) {
-        throw new TargetError(`no complete response to ${method} ${path}`, { cause: err });
+      const response = await exchangeOnce(exchanger, host, {
+        method,
+        path,
+        headers: Object.entries(forwardedHeaders(headers)).flat(),
+        body: body === '' ? undefined : Buffer.from(body, 'base64'),
+      }, Math.max(1, Math.ceil(timeLeftMs)), { dedicatedConnection: !repeatable, signal });
+      if (response.body.length > maxResponseBytes) {
+        throw new TargetError(`${method} ${path} got over ${maxResponseBytes} bytes`);
       }
+      return {
+        status: response.status,
+        headers: forwardedHeaders(response.headers),
+        body: response.body.toString('base64'),
+        ...(response.isFramed ? {} : { isFramed: false }),
+      };
+    },
+    async close() {
+      exchanger.close();
     },
-    close: () => pool.destroy(),
   };
 }
--- a/packages/entry/src/http/callers.ts
+++ b/packages/entry/src/http/callers.ts
@@ -5,7 +5,7 @@
   type Clock, type ConfigHolder, type ConfigView, type Refusal,
 } from '@verbenashunt/core';
 import type { OrganisationDecl } from '@verbenashunt/schema';
-import type { BodyReader } from '@verbenashunt/wire';
+import { endByClosing, type BodyReader } from '@verbenashunt/wire';
 import type { EntryMetrics } from '../metrics.js';
 import type { GenerationSink, GenerationSpec } from '../requests/generation.js';
 import type { RequestRun } from '../requests/registry.js';
@@ -169,6 +169,8 @@
       }, match.route.targets, {
         result(result) {
           meter.finish('completed');
+          // The end of an answer without framing is only as sure as the service's own.
+          if (result.isFramed === false) endByClosing(res);
           res.writeHead(result.status, result.headers);
           res.end(Buffer.from(result.body, 'base64'));
         },
--- a/packages/wire/src/connection-pool.ts
+++ b/packages/wire/src/connection-pool.ts
@@ -3,6 +3,8 @@
 import { buildConnector, Client } from 'undici';
 
 export interface ConnectionPoolOptions {
+  /** `http` by default. */
+  protocol?: 'http' | 'https';
   connectTimeoutMs: number;
   /** Idle time after which a connection is not reused, unless the server announces another. */
   keepAliveMs: number;
@@ -36,7 +38,7 @@
 }
 
 export function createConnectionPool(
-  { connectTimeoutMs, keepAliveMs }: ConnectionPoolOptions,
+  { protocol = 'http', connectTimeoutMs, keepAliveMs }: ConnectionPoolOptions,
 ): ConnectionPool {
   const connect = buildConnector({
     timeout: connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: keepAliveProbeDelayMs,
@@ -49,7 +51,7 @@
       socket: undefined,
       hasSocketError: false,
       isClosed: false,
-      client: new Client(`http://${address}`, {
+      client: new Client(`${protocol}://${address}`, {
         pipelining: 1,
         headersTimeout: 0,
         bodyTimeout: 0,
--- a/packages/wire/src/exchange.ts
+++ b/packages/wire/src/exchange.ts
@@ -55,6 +55,8 @@
 
 /** Lowest status that is not informational. */
 const minFinalStatus = 200;
+const statusNoContent = 204;
+const statusNotModified = 304;
 /** Maximum number of informational (1xx) responses before a response. */
 const maxInformational = 16;
 /**
@@ -67,6 +69,10 @@
 /** Maximum size in bytes of the body of an exchange that is read as a whole. */
 const maxBodyBytes = 8 * 1024 * 1024;
 
+/** Whether a response has no body, so that its headers are all of it. */
+const hasNoBody = ({ method }: OutgoingRequest, status: number) => method === 'HEAD'
+  || status === statusNoContent || status === statusNotModified;
+
 /** An exchange that fails unsent, after its caller has received it. */
 function createFailedExchange(handler: ExchangeHandler, err: Error): Exchange {
   const failing = setImmediate(() => handler.failed(err, false));
@@ -146,7 +152,8 @@
           if (informational > maxInformational) fail(new TargetError(`${address} sent over ${maxInformational} informational responses`));
           return;
         }
-        isFramed = 'content-length' in headers || 'transfer-encoding' in headers;
+        isFramed = hasNoBody(req, status) || 'content-length' in headers
+          || 'transfer-encoding' in headers;
         handler.head(status, headers, isFramed);
       },
       onResponseData(_, chunk) {
@@ -193,6 +200,13 @@
   status: number;
   headers: IncomingHttpHeaders;
   body: Buffer;
+  /** Whether the end of the body was marked, by a length or chunked encoding. */
+  isFramed: boolean;
+}
+
+export interface ExchangeOnceOptions extends ExchangeOptions {
+  /** Aborts the exchange, which then rejects. */
+  signal?: AbortSignal;
 }
 
 /**
@@ -204,36 +218,46 @@
   address: string,
   req: OutgoingRequest,
   timeoutMs: number,
-  options: ExchangeOptions = { dedicatedConnection: false },
+  options: ExchangeOnceOptions = { dedicatedConnection: false },
 ) => new Promise<ExchangeResponse>((resolve, reject) => {
   const chunks: Buffer[] = [];
   let size = 0;
   let head: Omit<ExchangeResponse, 'body'> | undefined;
   let timer: NodeJS.Timeout;
+  /* eslint-disable @typescript-eslint/no-use-before-define -- each refers to the other */
+  function settle() {
+    clearTimeout(timer);
+    options.signal?.removeEventListener('abort', onAbort);
+  }
+  function abort(reason: string) {
+    settle();
+    exchange.abort();
+    reject(new TargetError(reason));
+  }
+  const onAbort = () => abort(`${req.method} ${address}${req.path} was aborted`);
   const exchange = exchanger.start(address, req, {
-    head(status, headers) {
-      head = { status, headers };
+    head(status, headers, isFramed) {
+      head = { status, headers, isFramed };
     },
     data(chunk) {
       size += chunk.length;
       chunks.push(chunk);
-      if (size <= maxBodyBytes) return;
-      clearTimeout(timer);
-
-      exchange.abort();
-      reject(new TargetError(`${address} sent a body of over ${maxBodyBytes} bytes`));
+      if (size > maxBodyBytes) abort(`${address} sent a body of over ${maxBodyBytes} bytes`);
     },
     end() {
-      clearTimeout(timer);
+      settle();
       resolve({ ...head!, body: Buffer.concat(chunks) });
     },
     failed(err) {
-      clearTimeout(timer);
+      settle();
       reject(err);
     },
   }, options);
-  timer = setTimeout(() => {
-    exchange.abort();
-    reject(new TargetError(`${req.method} ${address}${req.path} got no complete response in ${timeoutMs} ms`));
-  }, timeoutMs);
+  /* eslint-enable @typescript-eslint/no-use-before-define */
+  timer = setTimeout(
+    () => abort(`${req.method} ${address}${req.path} got no complete response in ${timeoutMs} ms`),
+    timeoutMs,
+  );
+  if (options.signal?.aborted) onAbort();
+  else options.signal?.addEventListener('abort', onAbort);
 });
--- a/test/support/in-process.ts
+++ b/test/support/in-process.ts
@@ -49,6 +49,8 @@
   agentSettings?: Partial<AgentSettings>;
   /** Maps the engine's URL to the one that its agent uses, such as a relay's. */
   engineUrl?(url: string): string | Promise<string>;
+  /** The same for the service. */
+  serviceUrl?(url: string): string | Promise<string>;
 }
 
 export interface InProcessCluster {
@@ -69,7 +71,7 @@
   entrySettings: Partial<EntrySettings> = {},
   engineOptions: Partial<EngineOptions> = {},
   {
-    env = {}, dispatcher, engineUrl = (url) => url, agentSettings = {},
+    env = {}, dispatcher, engineUrl = (url) => url, serviceUrl = (url) => url, agentSettings = {},
   }: InProcessOptions = {},
 ): Promise<InProcessCluster> {
   const log = pino({ level: 'silent' });
@@ -79,7 +81,7 @@
   const startAgent = (target: string, targetKind: 'engine' | 'service', targetUrl: string) => createAgent({
     ...location, node: `agent-${target}`, platformUrl: platformStandIn.url, target, fleet: 'fleet', targetKind, targetUrl, ...agentSettings,
   }, { log });
-  const agents = await Promise.all([startAgent('engine', 'engine', await engineUrl(engineStandIn.url)), startAgent('app', 'service', serviceStandIn.url)]);
+  const agents = await Promise.all([startAgent('engine', 'engine', await engineUrl(engineStandIn.url)), startAgent('app', 'service', await serviceUrl(serviceStandIn.url))]);
   const vms = agents.map(({ peerPort }, i) => ({
     id: ['agent-engine', 'agent-app'][i], role: 'agent', zone: location.zone, region: location.region, host, port: peerPort, state: 'live',
   }));
