Keep connections open when a stopping entry closes its listener

Callers of a planned stop got 'read ECONNRESET': since Node 19 the HTTP server's close() also destroys every kept connection and every one whose last answer has been handed over but not sent, so requests that had just arrived there and the ends of answers that callers read slowly were lost. The time that the stop leaves for last requests came after that. The listener alone is closed now; connections are closed at the end, idle ones first in the own mode.

test/gateway/stopping, 'a request that arrives on a kept connection when the entry has stopped listening is answered': before, no answer; now 503.

--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -4,7 +4,8 @@
 import restana from 'restana';
 import { createRefusal, toRefusal, type Clock } from '@verbenashunt/core';
 import {
-  addHealthRoutes, createHttpListener, hasBody, type HealthSource, type HttpListenerOptions,
+  addHealthRoutes, createHttpListener, hasBody,
+  type HealthSource, type HttpListenerOptions,
 } from '@verbenashunt/wire';
 import { sendRefusal } from './responses.js';
 
@@ -83,8 +84,8 @@
       return listener.active;
     },
     close: () => new Promise((resolve) => {
-      server.close(() => resolve());
-      server.closeIdleConnections();
+      listener.stopListening(resolve);
+      listener.closeIdle();
     }),
     destroy: () => server.closeAllConnections(),
   };
--- a/packages/gateway/src/http/server.ts
+++ b/packages/gateway/src/http/server.ts
@@ -89,7 +89,7 @@
     },
     async close() {
       await acceptPending(server);
-      server.close();
+      listener.stopListening();
     },
     destroy() {
       server.closeAllConnections();
--- a/packages/wire/src/http/listener.ts
+++ b/packages/wire/src/http/listener.ts
@@ -3,7 +3,7 @@
   createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import { createServer as createTlsServer } from 'node:https';
-import type { Socket } from 'node:net';
+import { Server as NetServer, type Socket } from 'node:net';
 import { createRefusal, refusalBody, type RefusalCode } from '@verbenashunt/core';
 import type { TlsCredentials } from '../tls.js';
 
@@ -30,6 +30,10 @@
   readonly active: number;
   /** Whether the request came on a connection over `maxConnections`. */
   isRefused(req: IncomingMessage): boolean;
+  /** Accepts no further connections; `onClosed` follows when the open ones are closed. */
+  stopListening(onClosed?: () => void): void;
+  /** Closes the connections on which no response is awaited or being sent. */
+  closeIdle(): void;
 }
 
 /** Maps an error of Node's HTTP parser or its time-outs to a refusal code. */
@@ -115,5 +119,14 @@
       return active;
     },
     isRefused: (req) => refusedSockets.has(req.socket),
+    stopListening(onClosed) {
+      // The HTTP server's own `close` also destroys kept connections, on which a request may have
+      // just arrived, and those whose last response has been handed over but not sent completely.
+      NetServer.prototype.close.call(server, onClosed);
+    },
+    closeIdle() {
+      [...sockets].filter((socket) => !pendingResponses.has(socket))
+        .forEach((socket) => socket.destroy());
+    },
   };
 }
--- a/packages/wire/src/http/stream.ts
+++ b/packages/wire/src/http/stream.ts
@@ -1,6 +1,6 @@
 /** Writes streamed HTTP responses to clients that may read slower than the stream is produced. */
 import type { OutgoingHttpHeaders, ServerResponse } from 'node:http';
-import { abortConnection } from './abort.js';
+import { abortConnection } from './reset.js';
 
 export interface StreamWriter {
   write(text: string): void;
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -9,7 +9,7 @@
 export * from './health.js';
 export * from './tls.js';
 export * from './drain.js';
-export * from './http/abort.js';
+export * from './http/reset.js';
 export * from './http/body.js';
 export * from './http/headers.js';
 export * from './http/listener.js';
--- a/test/gateway/stopping.test.ts
+++ b/test/gateway/stopping.test.ts
@@ -28,6 +28,41 @@
   expect([...callers.statuses.keys()].sort()).toEqual([200, 503]);
 });
 
+const isListening = (port: number) => new Promise<boolean>((resolve) => {
+  const socket = connect(port, '127.0.0.1', () => {
+    socket.destroy();
+    resolve(true);
+  });
+  socket.on('error', () => resolve(false));
+});
+
+async function untilNotListening(port: number): Promise<void> {
+  if (await isListening(port)) await untilNotListening(port);
+}
+
+test('a request that arrives on a kept connection when the entry has stopped listening is answered', async () => {
+  fixture = await startGatewayFixture({ apps: 2 });
+  const { front } = fixture.gateway.ports;
+  const kept = connect(front, '127.0.0.1').on('error', () => {});
+  let received = '';
+  kept.on('data', (text) => {
+    received += text.toString('latin1');
+  });
+  const closed = new Promise((resolve) => {
+    kept.on('close', resolve);
+  });
+  const send = (id: string) => kept.write(`GET /read/a HTTP/1.1\r\nhost: app.example\r\nrequest-id: ${id}\r\nauthorization: Bearer key-1\r\n\r\n`);
+  send('first');
+  await expect.poll(() => received).toMatch(/^HTTP\/1\.1 200/);
+  const stopped = fixture.gateway.stop();
+  await wait(2000);
+  await untilNotListening(front);
+  received = '';
+  send('second');
+  await Promise.all([closed, stopped]);
+  expect(received).toMatch(/^HTTP\/1\.1 503/);
+});
+
 /** Connects, and sends a request after a time; resolves to what came back, undefined if refused. */
 function sendLate(port: number, delayMs: number): Promise<string | undefined> {
   return new Promise((resolve) => {
