Reset connections whose answers are cut, so that an unframed one does not look whole

An answer without a length or chunks looked whole to its caller when the entry itself broke it off: at the end of a stop, or because the caller read too slowly, its connection was closed in order. Node reports a reset that comes together with data as an orderly end; the test callers look whether the connection still has a peer.

--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -4,7 +4,7 @@
 import restana from 'restana';
 import { createRefusal, toRefusal, type Clock } from '@verbenashunt/core';
 import {
-  addHealthRoutes, createHttpListener, hasBody,
+  abortResponse, addHealthRoutes, createHttpListener, hasBody,
   type HealthSource, type HttpListenerOptions,
 } from '@verbenashunt/wire';
 import { sendRefusal } from './responses.js';
@@ -66,7 +66,7 @@
       // Otherwise the unread rest of the body would be parsed as the next request.
       if (isBodyUnread(req) || listener.isRefused(req)) res.shouldKeepAlive = false;
       if (!res.headersSent) sendRefusal(res, toRefusal(err));
-      else res.destroy();
+      else abortResponse(res);
     }
   };
 
@@ -87,6 +87,6 @@
       listener.stopListening(resolve);
       listener.closeIdle();
     }),
-    destroy: () => server.closeAllConnections(),
+    destroy: listener.destroy,
   };
 }
--- a/packages/gateway/src/http/server.ts
+++ b/packages/gateway/src/http/server.ts
@@ -91,9 +91,7 @@
       await acceptPending(server);
       listener.stopListening();
     },
-    destroy() {
-      server.closeAllConnections();
-    },
+    destroy: listener.destroy,
   };
   return callerServer;
 }
--- a/packages/wire/src/http/listener.ts
+++ b/packages/wire/src/http/listener.ts
@@ -6,6 +6,7 @@
 import { Server as NetServer, type Socket } from 'node:net';
 import { createRefusal, refusalBody, type RefusalCode } from '@verbenashunt/core';
 import type { TlsCredentials } from '../tls.js';
+import { abortConnection } from './reset.js';
 
 /** Connections over `maxConnections` that still get a refusal as response; the rest are closed. */
 const maxRefusedConnections = 128;
@@ -34,6 +35,8 @@
   stopListening(onClosed?: () => void): void;
   /** Closes the connections on which no response is awaited or being sent. */
   closeIdle(): void;
+  /** Closes all connections; resets those whose response is not completely sent. */
+  destroy(): void;
 }
 
 /** Maps an error of Node's HTTP parser or its time-outs to a refusal code. */
@@ -106,7 +109,8 @@
   // Closes sockets without progress: the response is not being read, or no request is in progress.
   // A socket that waits for this server to produce the response is kept.
   server.setTimeout(limits.streamStallTimeoutMs, (socket) => {
-    if (socket.writableLength > 0 || !pendingResponses.has(socket)) socket.destroy();
+    if (socket.writableLength > 0) abortConnection(socket);
+    else if (!pendingResponses.has(socket)) socket.destroy();
   });
   server.on('clientError', (err, socket) => {
     const pending = pendingResponses.get(socket as Socket) ?? new Set();
@@ -128,5 +132,9 @@
       [...sockets].filter((socket) => !pendingResponses.has(socket))
         .forEach((socket) => socket.destroy());
     },
+    destroy() {
+      [...pendingResponses.keys()].forEach(abortConnection);
+      server.closeAllConnections();
+    },
   };
 }
--- a/test/support/raw-caller.ts
+++ b/test/support/raw-caller.ts
@@ -1,5 +1,6 @@
 /** A caller that reads the bytes of an answer, to tell how it was framed and how it ended. */
 import { connect } from 'node:net';
+import { wasReset } from '@verbenashunt/wire';
 
 export interface RawAnswer {
   status: number;
@@ -60,9 +61,13 @@
     socket.setEncoding('latin1').on('data', (text) => {
       received += String(text);
     });
-    // `close` follows and tells that there was an error.
+    let isOrderly = false;
+    socket.on('end', () => {
+      isOrderly = !wasReset(socket);
+    });
+    // `close` follows.
     socket.on('error', () => {});
-    socket.on('close', (hadError) => resolve(parseAnswer(received, !hadError)));
+    socket.on('close', () => resolve(parseAnswer(received, isOrderly)));
     socket.write(`POST ${path} HTTP/1.1\r\n${head}\r\n${body}`);
   });
 }
