--- a/test/platform/objects.test.ts
+++ b/test/platform/objects.test.ts
@@ -1,4 +1,5 @@
 /** The client of the platform's object store, also with faults of the store. */
+import { createServer, type AddressInfo } from 'node:net';
 import {
   afterEach, beforeEach, expect, test,
 } from 'vitest';
@@ -50,3 +51,16 @@
   expect(err).toBeInstanceOf(error);
   expect(err instanceof PlatformRateError).toBe(error === PlatformRateError);
 });
+
+test('half of an object that came without a length is not taken for all of it', async () => {
+  const server = createServer((socket) => socket.once('data', () => {
+    socket.end('HTTP/1.1 200 OK\r\n\r\nhalf of the obj');
+  }));
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const other = createObjectStore(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+  await expect(other.get('a')).rejects.toThrow(PlatformError);
+  other.close();
+  server.close();
+});
