--- a/packages/core/src/serving/stream-end.ts
+++ b/packages/core/src/serving/stream-end.ts
@@ -18,9 +18,9 @@
 /**
  * - `broken`: the stream has been broken off.
  * - `unsettled`: it may be whole or broken off, which only another run can tell.
- * - `as_whole`: the caller's answer may end in the same way if the targets are unharmed.
+ * - `whole_if_unharmed`: the caller's answer may end in the same way, unless a target was lost.
  */
-export type UnframedEndMeaning = 'broken' | 'unsettled' | 'as_whole';
+export type UnframedEndMeaning = 'broken' | 'unsettled' | 'whole_if_unharmed';
 
 export function meaningOfUnframedEnd({
   hasEvents, lastEventId, earlierEndId, isAnswerFramed,
@@ -28,5 +28,5 @@
   if (!hasEvents) return 'broken';
   // Two runs agree that no event follows.
   const isConfirmed = lastEventId !== undefined && lastEventId === earlierEndId;
-  return isConfirmed || !isAnswerFramed ? 'as_whole' : 'unsettled';
+  return isConfirmed || !isAnswerFramed ? 'whole_if_unharmed' : 'unsettled';
 }
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -184,20 +184,16 @@
   }
 
   /** Ends the attempt as failed; `blamed` is the address of the target at fault. */
-  function abandon(
-    reason: string,
-    blamed?: string,
-    attemptEnd: AttemptEnd = 'unknown',
-    isConnectionLost = false,
-  ) {
+  function abandon(reason: string, blamed?: string, details: Partial<AttemptFailure> = {}) {
     if (isOver || !attempt) return;
     failed({
-      end: attemptEnd,
+      end: 'unknown',
       reason,
-      isConnectionLost,
+      isConnectionLost: false,
       isHeldBack: false,
       blamed,
       answer: undefined,
+      ...details,
     });
   }
 
@@ -218,8 +214,12 @@
     if (verdict === 'complete') completed(start);
     else if (verdict === 'unsettled') {
       earlierEndId = lastEventId;
-      abandon('nothing shows whether the stream is whole', undefined, 'unsettled');
-    } else abandon('a target was lost before a stream without a length ended', undefined, 'broken', true);
+      abandon('nothing shows whether the stream is whole', undefined, { end: 'unsettled' });
+    } else {
+      abandon('a target was lost, or no event came, before an unframed stream ended', undefined, {
+        end: 'broken', isConnectionLost: true,
+      });
+    }
   }
 
   const rerouter = createRerouter({
@@ -255,7 +255,7 @@
     const verdict = delivery.sendEvent(next, answerStartOf(start));
     if (verdict === 'repeated') return;
     if (verdict === 'gap') {
-      abandon(`gap in the stream: event ${next.id} follows ${last}`, undefined, 'broken');
+      abandon(`gap in the stream: event ${next.id} follows ${last}`, undefined, { end: 'broken' });
       return;
     }
     quietSince = clock.now();
--- a/packages/gateway/src/requests/unframed-end.ts
+++ b/packages/gateway/src/requests/unframed-end.ts
@@ -37,11 +37,11 @@
   const { spec, choice } = end;
   const meaning = meaningOfUnframedEnd(end);
   const isEngine = spec.service.engine !== undefined;
-  const checked = meaning === 'as_whole' ? choice.parts : [choice.target];
+  const checked = meaning === 'whole_if_unharmed' ? choice.parts : [choice.target];
   const checks = await Promise.all(checked
     .map((target) => isSameIncarnation(target, isEngine, deps)));
   const lost = checked.filter((_, i) => !checks[i]).map(({ id }) => id);
-  const verdictIfUnharmed = meaning === 'as_whole' ? 'complete' : meaning;
+  const verdictIfUnharmed = meaning === 'whole_if_unharmed' ? 'complete' : meaning;
   const verdict = lost.length === 0 ? verdictIfUnharmed : 'broken';
   deps.unframedStreamEnded(verdict);
   deps.log.info({
--- a/packages/wire/src/http/listener.ts
+++ b/packages/wire/src/http/listener.ts
@@ -33,7 +33,7 @@
   isRefused(req: IncomingMessage): boolean;
   /** Accepts no further connections; `onClosed` follows when the open ones are closed. */
   stopListening(onClosed?: () => void): void;
-  /** Closes the connections on which no response is awaited or being sent. */
+  /** Closes the connections that were used and on which no response is awaited or being sent. */
   closeIdle(): void;
   /** Closes all connections; resets those whose response is not completely sent. */
   destroy(): void;
@@ -73,6 +73,8 @@
 export function createHttpListener(limits: HttpListenerOptions): HttpListener {
   const sockets = new Set<Socket>();
   const refusedSockets = new WeakSet<Socket>();
+  /** Those on which a request has arrived. */
+  const usedSockets = new WeakSet<Socket>();
   const pendingResponses = new Map<Socket, Set<ServerResponse>>();
   let active = 0;
   const options = {
@@ -96,6 +98,7 @@
 
   server.on('request', (req: IncomingMessage, res: ServerResponse) => {
     const { socket } = req;
+    usedSockets.add(socket);
     active += 1;
     const pending = pendingResponses.get(socket) ?? new Set();
     pendingResponses.set(socket, pending.add(res));
@@ -129,7 +132,7 @@
       NetServer.prototype.close.call(server, onClosed);
     },
     closeIdle() {
-      [...sockets].filter((socket) => !pendingResponses.has(socket))
+      [...sockets].filter((socket) => usedSockets.has(socket) && !pendingResponses.has(socket))
         .forEach((socket) => socket.destroy());
     },
     destroy() {
--- a/test/serving/stream-end.test.ts
+++ b/test/serving/stream-end.test.ts
@@ -17,7 +17,7 @@
 });
 
 test('a second run settles the end only if it ends at the same event', () => {
-  expect(meaningOfUnframedEnd({ ...firstRun, earlierEndId: 6 })).toBe('as_whole');
+  expect(meaningOfUnframedEnd({ ...firstRun, earlierEndId: 6 })).toBe('whole_if_unharmed');
   expect(meaningOfUnframedEnd({ ...firstRun, earlierEndId: 2 })).toBe('unsettled');
 });
 
@@ -26,5 +26,5 @@
 });
 
 test('an answer that marks no end either may end as its target did', () => {
-  expect(meaningOfUnframedEnd({ ...firstRun, isAnswerFramed: false })).toBe('as_whole');
+  expect(meaningOfUnframedEnd({ ...firstRun, isAnswerFramed: false })).toBe('whole_if_unharmed');
 });
