--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -252,7 +252,7 @@
 
   function event(next: StreamEvent, start: AnswerStart) {
     const last = delivery.lastEventId;
-    const verdict = delivery.sendEvent(next, answerStartOf(start));
+    const verdict = delivery.sendEvent(next, delivery.hasStarted ? start : answerStartOf(start));
     if (verdict === 'repeated') return;
     if (verdict === 'gap') {
       abandon(`gap in the stream: event ${next.id} follows ${last}`, undefined, { end: 'broken' });
