--- a/packages/gateway/src/requests/stop-window.ts
+++ b/packages/gateway/src/requests/stop-window.ts
@@ -26,12 +26,13 @@
   return expiresAt > startedAt + graceMs - stopMarginMs;
 }
 
-/** Limits on the time for which waiting connections are accepted at the end of a stop, in ms. */
+/** Shortest time limit in milliseconds for accepting connections that wait at the end of a stop. */
 const minAcceptMs = 100;
+/** Longest time limit in milliseconds for accepting them, where the grace time allows it. */
 const maxAcceptMs = 500;
 
 /**
- * Longest time in milliseconds for which connections that wait are accepted at the end of a stop.
+ * Time limit in milliseconds for accepting the connections that wait at the end of a stop.
  * A turn of the event loop accepts one, and turns are slow on a busy VM.
  */
 export const acceptMsAtStop = (startedAt: number, now: number, graceMs: number): number => {
