--- a/test/gateway/unframed-streams.test.ts
+++ b/test/gateway/unframed-streams.test.ts
@@ -46,7 +46,7 @@
 const runs = () => fixture.pool.flatMap(({ ran }) => ran);
 
 test.each([
-  'unframed-short', 'unframed-restart', 'unframed-stream',
+  'unframed-short', 'unframed-identity', 'unframed-restart', 'unframed-stream',
 ] as const)('a resumable unframed stream reaches its caller whole and marked as whole: %s', async (behaviour) => {
   await start(behaviour);
   expect(await callStream(resumable)).toEqual({
