Send streams to callers of HTTP/1.0 without chunks

A caller of HTTP/1.0 got the sizes of the chunks as a part of its stream. Found while looking for other ends that only a connection shows: HTTP/1.0 has no chunked encoding, so such an answer must end with its connection, and be reset if it is cut.

--- a/packages/gateway/src/http/answer-sink.ts
+++ b/packages/gateway/src/http/answer-sink.ts
@@ -1,6 +1,8 @@
 /** Adapts the HTTP response to a caller to the sink that a request run writes its answer to. */
 import type { ServerResponse } from 'node:http';
-import { abortResponse, endByClosing, openStream } from '@verbenashunt/wire';
+import {
+  abortResponse, acceptsChunks, endByClosing, openStream,
+} from '@verbenashunt/wire';
 import type { CallerProtocol } from '../ports.js';
 import type { AnswerSink } from '../requests/spec.js';
 
@@ -26,7 +28,7 @@
       res.end(body);
     },
     open({ status, headers, isFramed }) {
-      isMarked = isFramed;
+      isMarked = isFramed && acceptsChunks(res);
       return openStream(res, {
         status, headers: callers.answerHeaders(headers), encoding: 'latin1', isFramed,
       }, maxBacklogBytes, () => {});
--- a/packages/wire/src/http/stream.ts
+++ b/packages/wire/src/http/stream.ts
@@ -29,7 +29,10 @@
   headers: OutgoingHttpHeaders;
   /** Encoding of the text passed to the writer. */
   encoding: BufferEncoding;
-  /** Whether to use chunked encoding, the default; without it the connection ends the response. */
+  /**
+   * Whether to use chunked encoding, the default, if the client understands it; without it the
+   * connection ends the response.
+   */
   isFramed?: boolean;
 }
 
@@ -40,6 +43,9 @@
   return res;
 }
 
+/** Whether the client understands chunked encoding, which came with HTTP/1.1. */
+export const acceptsChunks = ({ req }: ServerResponse) => req.httpVersion !== '1.0';
+
 /** Closes the connection of a response that is not complete, so that it does not look complete. */
 export function abortResponse(res: ServerResponse) {
   // An earlier response occupies the connection if there is no socket; nothing was sent then.
@@ -55,11 +61,12 @@
 export function openStream(
   res: ServerResponse,
   {
-    status, headers, encoding, isFramed = true,
+    status, headers, encoding, isFramed: isMarked = true,
   }: StreamHead,
   maxBacklogBytes: number,
   onSlowReader: () => void,
 ): StreamWriter {
+  const isFramed = isMarked && acceptsChunks(res);
   /** Encodes a chunk of a chunked body as one string, so that it takes a single write. */
   const encodeChunk = (text: string) => `${Buffer.byteLength(text, encoding).toString(hexRadix)}\r\n${text}\r\n`;
   const encode = isFramed ? encodeChunk : (text: string) => text;
--- a/test/gateway/unframed-streams.test.ts
+++ b/test/gateway/unframed-streams.test.ts
@@ -4,7 +4,7 @@
 import {
   startGatewayFixture, streamHeaders, type GatewayFixture, type GatewayFixtureOptions,
 } from '../support/gateway-fixture.js';
-import { callRaw, type RawAnswer } from '../support/raw-caller.js';
+import { callRaw, type RawAnswer, type RawCall } from '../support/raw-caller.js';
 
 let fixture: GatewayFixture;
 
@@ -32,10 +32,11 @@
 
 let sequence = 0;
 
-function callStream(path: string): Promise<RawAnswer> {
+function callStream(path: string, httpVersion: RawCall['httpVersion'] = '1.1'): Promise<RawAnswer> {
   sequence += 1;
   return callRaw(fixture.gateway.ports.front, {
     path,
+    httpVersion,
     headers: {
       ...streamHeaders, 'request-id': `stream-${sequence}`, 'request-deadline-ms': '3000', authorization: 'Bearer key-1',
     },
@@ -122,3 +123,12 @@
   expect(answers.filter(({ framing }) => framing === 'chunked').length).toBeGreaterThan(0);
   expect(runs().length - 60).toBeLessThanOrEqual(retries.extra + retries.ratio * 60);
 });
+
+test.each([
+  ['answer', allEvents, true], ['half-again', textOf(2), false],
+] as const)('a caller that knows no chunks gets a stream without them, reset if it is cut: %s', async (behaviour, body, isEnded) => {
+  await start(behaviour);
+  expect(await callStream(once, '1.0')).toEqual({
+    status: 200, framing: 'connection', body, isEnded,
+  });
+});
--- a/test/support/raw-caller.ts
+++ b/test/support/raw-caller.ts
@@ -48,10 +48,17 @@
   path: string;
   headers: Record<string, string>;
   body: string;
+  /** 1.1 by default. */
+  httpVersion?: '1.0' | '1.1';
 }
 
 /** Sends one request on a connection of its own; resolves when the connection is closed. */
-export function callRaw(port: number, { path, headers, body }: RawCall): Promise<RawAnswer> {
+export function callRaw(
+  port: number,
+  {
+    path, headers, body, httpVersion = '1.1',
+  }: RawCall,
+): Promise<RawAnswer> {
   const head = Object.entries({
     host: 'app.example', connection: 'close', 'content-length': String(body.length), ...headers,
   }).map(([name, value]) => `${name}: ${value}\r\n`).join('');
@@ -68,6 +75,6 @@
     // `close` follows.
     socket.on('error', () => {});
     socket.on('close', () => resolve(parseAnswer(received, isOrderly)));
-    socket.write(`POST ${path} HTTP/1.1\r\n${head}\r\n${body}`);
+    socket.write(`POST ${path} HTTP/${httpVersion}\r\n${head}\r\n${body}`);
   });
 }
