Refuse objects of the platform that come without a length or chunks, in the own mode too

Half of an object that ended with its connection was taken for the whole one. Nothing reads objects in the own mode so far, and no caller has met it. Rows and the list of VMs are JSON, which half of is none, and are read as before.

The new test of test/frame/platform, 'half of an object …', failed before: it got the half.

--- a/packages/wire/src/exchange.ts
+++ b/packages/wire/src/exchange.ts
@@ -8,6 +8,7 @@
 import {
   createConnectionPool, type Connection, type ConnectionPoolOptions,
 } from './connection-pool.js';
+import { isEndMarked } from './http/headers.js';
 
 export interface OutgoingRequest {
   method: string;
@@ -73,10 +74,6 @@
 const hasNoBody = ({ method }: OutgoingRequest, status: number) => method === 'HEAD'
   || status === statusNoContent || status === statusNotModified;
 
-/** Whether the body is sent in chunks; with another last transfer coding its connection ends it. */
-const isChunked = ({ 'transfer-encoding': codings }: IncomingHttpHeaders) => String(codings)
-  .split(',').at(-1)!.trim().toLowerCase() === 'chunked';
-
 /** An exchange that fails unsent, after its caller has received it. */
 function createFailedExchange(handler: ExchangeHandler, err: Error): Exchange {
   const failing = setImmediate(() => handler.failed(err, false));
@@ -156,7 +153,7 @@
           if (informational > maxInformational) fail(new TargetError(`${address} sent over ${maxInformational} informational responses`));
           return;
         }
-        isFramed = hasNoBody(req, status) || 'content-length' in headers || isChunked(headers);
+        isFramed = hasNoBody(req, status) || isEndMarked(headers);
         handler.head(status, headers, isFramed);
       },
       onResponseData(_, chunk) {
--- a/packages/wire/src/platform.ts
+++ b/packages/wire/src/platform.ts
@@ -4,6 +4,7 @@
 import {
   validators, type Row, type Transaction, type Validator, type Vm,
 } from '@verbenashunt/schema';
+import { isEndMarked } from './http/headers.js';
 
 const defaultTimeoutMs = 2000;
 const maxConnections = 8;
@@ -47,7 +48,9 @@
       const res = await pool.request({
         method, path, body: body ?? null, headers, signal,
       });
-      return { status: res.statusCode, text: await res.body.text() };
+      return {
+        status: res.statusCode, text: await res.body.text(), isFramed: isEndMarked(res.headers),
+      };
     } catch (err) {
       throw new PlatformError(`${method} ${path} got no response from the platform`, { cause: err });
     }
@@ -64,12 +67,13 @@
     throw new PlatformError('the response from the platform does not match its schema');
   }
 
-  /** Returns the body of a successful response; undefined if the resource does not exist. */
-  async function read(path: string): Promise<string | undefined> {
-    const { status, text } = await send('GET', path);
+  /** Resolves to a successful response; undefined if the resource does not exist. */
+  async function read(path: string) {
+    const response = await send('GET', path);
+    const { status } = response;
     if (status === statusNotFound) return undefined;
     if (status === statusTooManyRequests) throw new PlatformRateError(`GET ${path} exceeds the platform's rate limit`);
-    if (isSuccess(status)) return text;
+    if (isSuccess(status)) return response;
     throw new PlatformError(`GET ${path} failed with status ${status}`);
   }
 
@@ -84,19 +88,23 @@
 
   return {
     async get(table, key) {
-      const text = await read(pathOf('tables', table, key));
-      return text === undefined ? undefined : parseResponse(text, validators.row);
+      const response = await read(pathOf('tables', table, key));
+      return response && parseResponse(response.text, validators.row);
     },
     async scan(table, prefix) {
-      const text = await read(`${pathOf('tables', table)}?prefix=${encodeURIComponent(prefix)}`);
-      return text === undefined ? [] : parseResponse(text, validators.rows).rows;
+      const response = await read(`${pathOf('tables', table)}?prefix=${encodeURIComponent(prefix)}`);
+      return response ? parseResponse(response.text, validators.rows).rows : [];
     },
     transact: (transaction) => write('POST', '/transactions', JSON.stringify(transaction)),
     putObject: (key, body) => write('PUT', pathOf('objects', key), body),
-    getObject: (key) => read(pathOf('objects', key)),
+    async getObject(key) {
+      const response = await read(pathOf('objects', key));
+      if (response && !response.isFramed) throw new PlatformError(`object ${key} came without a length or chunks`);
+      return response?.text;
+    },
     async listVms() {
-      const text = await read('/vms');
-      return parseResponse(text ?? '', validators.vmList).vms;
+      const response = await read('/vms');
+      return parseResponse(response?.text ?? '', validators.vmList).vms;
     },
     close: () => pool.close(),
   };
--- a/test/frame/platform.test.ts
+++ b/test/frame/platform.test.ts
@@ -55,6 +55,18 @@
   expect(await client.get('rated', 'k')).toBeUndefined();
 });
 
+test('half of an object without a length or chunks is not taken for the whole one', async () => {
+  const server = createServer((socket) => socket.once('data', () => socket.end('HTTP/1.1 200 OK\r\n\r\nhalf of an obj')));
+  await new Promise<void>((resolve) => {
+    server.listen(0, host, resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const other = createPlatformClient(`http://${host}:${port}`);
+  await expect(other.getObject('object')).rejects.toBeInstanceOf(PlatformError);
+  await other.close();
+  server.close();
+});
+
 test.each([
   ['text that is not JSON', 200, '<html>'],
   ['JSON that does not match the schema', 200, '{"rows":1}'],
