Stop listening only after a short turn, so that connections in a long one are not reset

The listener was closed after a turn that had accepted no connection. Those that arrive between the look of that turn and the close are established for the kernel, and the close resets them; a turn that is long, or in which the process isn't scheduled, leaves room for several. Now the turn must also have been shorter than 0.5 ms; else another one follows, within the time that the grace time leaves. The close comes in the same callback as the look.

What is left is a connection that arrives within that half millisecond.

--- a/packages/gateway/src/http/server.ts
+++ b/packages/gateway/src/http/server.ts
@@ -1,9 +1,9 @@
 /** HTTP servers of the gateway for callers, readiness checks and metrics. */
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import restana from 'restana';
 import type { CallerLimits } from '@verbenashunt/core';
-import { createHttpListener } from '@verbenashunt/wire';
+import { createHttpListener, type HttpListener } from '@verbenashunt/wire';
 
 export interface Address {
   host: string;
@@ -44,26 +44,36 @@
   destroy(): void;
 }
 
+/** Longest turn in milliseconds in which hardly any connection arrives that is not accepted. */
+const shortTurnMs = 0.5;
+
 /**
- * Resolves when a turn of the event loop accepts no connection. Each turn accepts one, and closing
- * the listener resets those that are established and not accepted yet, with the requests on them.
+ * Stops listening after a short turn of the event loop that accepted no connection, or after
+ * `maxMs`. Each turn accepts one, and closing the listener resets those that are established and
+ * not accepted yet, with the requests on them; after a long turn there may be some.
  */
-async function acceptPending(server: Server, maxMs: number): Promise<void> {
+function stopListeningWhenQuiet({ server, stopListening }: HttpListener, maxMs: number) {
   const until = performance.now() + maxMs;
-  let accepted = 0;
-  const count = () => {
-    accepted += 1;
+  let hasAccepted = true;
+  const accepted = () => {
+    hasAccepted = true;
   };
-  const turn = async (): Promise<void> => {
-    const before = accepted;
-    await new Promise((resolve) => {
-      setImmediate(() => setImmediate(resolve));
+  server.on('connection', accepted);
+  return new Promise<void>((resolve) => {
+    const checkNextTurn = (turnStartedAt: number) => setImmediate(() => {
+      const now = performance.now();
+      const isQuiet = !hasAccepted && now - turnStartedAt < shortTurnMs;
+      if (!isQuiet && now < until) {
+        hasAccepted = false;
+        checkNextTurn(now);
+        return;
+      }
+      stopListening();
+      server.off('connection', accepted);
+      resolve();
     });
-    if (accepted > before && performance.now() < until) await turn();
-  };
-  server.on('connection', count);
-  await turn();
-  server.off('connection', count);
+    checkNextTurn(performance.now());
+  });
 }
 
 export async function serveCallers({ host, port }: Address, handler: Handler) {
@@ -87,10 +97,7 @@
       server.headersTimeout = headerTimeoutMs;
       server.keepAliveTimeout = idleTimeoutMs;
     },
-    async close(maxAcceptMs) {
-      await acceptPending(server, maxAcceptMs);
-      listener.stopListening();
-    },
+    close: (maxAcceptMs) => stopListeningWhenQuiet(listener, maxAcceptMs),
     destroy: listener.destroy,
   };
   return callerServer;
--- a/test/gateway/stopping.test.ts
+++ b/test/gateway/stopping.test.ts
@@ -1,5 +1,6 @@
 /** Planned stops under load: no request that was accepted is cut off without an answer. */
 import { connect } from 'node:net';
+import { Worker } from 'node:worker_threads';
 import { afterEach, expect, test } from 'vitest';
 import { startGatewayFixture, type GatewayFixture } from '../support/gateway-fixture.js';
 import { startSteadyCallers } from '../support/steady-callers.js';
@@ -63,6 +64,11 @@
   expect(received).toMatch(/^HTTP\/1\.1 503/);
 });
 
+const lateRequest = [
+  'GET /read/a HTTP/1.1', 'host: app.example', 'request-id: late', 'request-deadline-ms: 300',
+  'authorization: Bearer key-1', 'connection: close', '\r\n',
+].join('\r\n');
+
 /** Connects, and sends a request after a time; resolves to what came back, undefined if refused. */
 function sendLate(port: number, delayMs: number): Promise<string | undefined> {
   return new Promise((resolve) => {
@@ -70,7 +76,7 @@
     let isConnected = false;
     const socket = connect(port, '127.0.0.1', () => {
       isConnected = true;
-      setTimeout(() => socket.write('GET /read/a HTTP/1.1\r\nhost: app.example\r\nrequest-id: late\r\nrequest-deadline-ms: 300\r\nauthorization: Bearer key-1\r\nconnection: close\r\n\r\n'), delayMs);
+      setTimeout(() => socket.write(lateRequest), delayMs);
     });
     socket.on('error', () => {}).on('close', () => resolve(isConnected ? received : undefined));
     socket.on('data', (text) => {
@@ -126,3 +132,52 @@
   expect(received.length).toBeGreaterThan(10);
   expect(received.filter((text) => !/^HTTP\/1\.1 (200|503)/.test(text))).toEqual([]);
 });
+
+/** On a message, connects to each port in turn for 240 ms; posts what came back on each one. */
+const separateCallers = `
+const { connect } = require('node:net');
+const { parentPort, workerData: { ports, request } } = require('node:worker_threads');
+const received = [];
+const call = (port) => new Promise((resolve) => {
+  let text;
+  const socket = connect(port, '127.0.0.1', () => { text = ''; socket.write(request); });
+  socket.on('data', (bytes) => { text += bytes; }).on('error', () => {});
+  socket.on('close', () => { if (text !== undefined) received.push(text); resolve(); });
+});
+parentPort.once('message', () => {
+  const calls = [];
+  const timers = [];
+  ports.forEach((port, i) => setTimeout(() => {
+    timers.push(setInterval(() => calls.push(call(port)), 30));
+  }, 5 * i));
+  setTimeout(async () => {
+    timers.forEach(clearInterval);
+    await Promise.all(calls);
+    parentPort.postMessage(received);
+  }, 240);
+});
+`;
+
+test('no connection is reset that arrives in a slow turn while an entry stops listening', async () => {
+  const others = await Promise.all(Array.from({ length: 5 }, () => (
+    startGatewayFixture({ apps: 1 }))));
+  fixture = await startGatewayFixture({ apps: 1 });
+  const gateways = [fixture, ...others].map(({ gateway }) => gateway);
+  const ports = gateways.map((gateway) => gateway.ports.front);
+  const workerData = { ports, request: lateRequest };
+  const worker = new Worker(separateCallers, { eval: true, workerData });
+  const received = new Promise<string[]>((resolve) => {
+    worker.once('message', resolve);
+  });
+  const stopped = Promise.all(gateways.map((gateway) => gateway.stop()));
+  await wait(2120);
+  worker.postMessage('start');
+  const stopSlowing = slowTurns(8);
+  await wait(280);
+  stopSlowing();
+  await stopped;
+  const texts = await received;
+  await Promise.all(others.map((other) => other.close()));
+  expect(texts.length).toBeGreaterThan(10);
+  expect(texts.filter((text) => !/^HTTP\/1\.1 (200|503)/.test(text))).toEqual([]);
+});
