Soak the ends of streams, seeded, with targets that change how they frame and end them

Ends that a living target makes too soon are allowed only where they are passed on without framing, as documented.

--- /dev/null
+++ b/test/gateway/stream-ends-soak.test.ts
@@ -0,0 +1,118 @@
+/**
+ * Seeded soak of streams whose targets change, again and again, how they frame and end them, while
+ * entries are replaced. By hand: `SOAK_SEEDS=50 npx vitest run test/gateway/stream-ends-soak`.
+ */
+import { afterEach, expect, test } from 'vitest';
+import type { Gateway } from '@verbenashunt/gateway';
+import { eventText, type TargetBehaviour } from '@verbenashunt/platform/stand-in';
+import { createRandom } from '@verbenashunt/stand-ins';
+import {
+  startGateway, startGatewayFixture, streamHeaders, type GatewayFixture,
+} from '../support/gateway-fixture.js';
+import { callRaw, type RawAnswer } from '../support/raw-caller.js';
+
+const seedCount = Number(process.env.SOAK_SEEDS ?? 2);
+const seeds = Array.from({ length: seedCount }, (_, i) => i + 1);
+const runMs = 6000;
+const callerCount = 10;
+const eventCount = 8;
+/** Events of a stream that a living target ends too soon. */
+const shortCount = 2;
+const textOf = (count: number) => Array.from({ length: count }, (_, i) => eventText(i + 1)).join('');
+const allEvents = textOf(eventCount);
+const behaviours: TargetBehaviour[] = [
+  'answer', 'answer', 'unframed-stream', 'unframed-stream', 'unframed-stream', 'half', 'half-again',
+  'not-run', 'unframed-half', 'unframed-restart', 'unframed-empty',
+];
+
+interface Seen extends RawAnswer {
+  path: string;
+}
+
+let fixture: GatewayFixture;
+let gateways: Gateway[] = [];
+
+afterEach(async () => {
+  await Promise.all(gateways.map((gateway) => gateway.stop(AbortSignal.abort())));
+  await fixture.close();
+});
+
+const wait = (ms: number) => new Promise((resolve) => {
+  setTimeout(resolve, ms);
+});
+
+/** Repeats a step, with a pause before each, until a time. */
+async function repeatUntil(endsAt: number, pauseMs: () => number, step: () => unknown) {
+  await wait(pauseMs());
+  if (performance.now() > endsAt) return;
+  await step();
+  await repeatUntil(endsAt, pauseMs, step);
+}
+
+/** Only the first engine ends streams too soon in order: two of them would agree on a wrong end. */
+function changeBehaviour(random: () => number) {
+  const index = Math.floor(random() * fixture.pool.length);
+  const choices = index === 0 ? [...behaviours, 'unframed-short' as const] : behaviours;
+  fixture.pool[index]!.behaviour = choices[Math.floor(random() * choices.length)]!;
+}
+
+/** Starts another entry, then stops the oldest one; callers go on at those that run. */
+async function replaceEntry(n: number) {
+  gateways.push(await startGateway(fixture.store, `entry-${n}`));
+  await wait(500);
+  await gateways.shift()!.stop();
+}
+
+async function callOnce(id: string, random: () => number): Promise<Seen> {
+  const path = random() < 0.7 ? '/chat/x' : '/once/x';
+  const gateway = gateways[Math.floor(random() * gateways.length)]!;
+  const answer = await callRaw(gateway.ports.front, {
+    path,
+    headers: {
+      ...streamHeaders, 'request-id': id, 'request-deadline-ms': '2000', authorization: 'Bearer key-1',
+    },
+    body: 'prompt',
+  });
+  return { ...answer, path };
+}
+
+/** Whether an answer claims no more than is true. */
+function isTruthful({
+  status, body, framing, isEnded,
+}: Seen): boolean {
+  if (status !== 200) return true;
+  if (!allEvents.startsWith(body)) return false;
+  // An end without framing is the target's own, and one of them ends streams too soon.
+  const isTargetsEnd = framing === 'connection' && body === textOf(shortCount);
+  return !isEnded || body === allEvents || isTargetsEnd;
+}
+
+test.each(seeds)('no broken stream reaches its caller as a whole one, seed %i', async (seed) => {
+  const random = createRandom(seed);
+  fixture = await startGatewayFixture({
+    apps: 1,
+    pool: [[0, 8], [0, 8], [0, 8], [0, 4], [4, 8]],
+    engine: { events: eventCount },
+    gateway: { retries: { ratio: 0.4, extra: 100, windowMs: 5000 } },
+  });
+  gateways = [fixture.gateway, await startGateway(fixture.store, 'entry-2')];
+  const seen: Seen[] = [];
+  const endsAt = performance.now() + runMs;
+  let entryCount = gateways.length;
+  await Promise.all([
+    repeatUntil(endsAt, () => 20 + 100 * random(), () => changeBehaviour(random)),
+    repeatUntil(endsAt - 3000, () => 500 * random(), () => {
+      entryCount += 1;
+      return replaceEntry(entryCount);
+    }),
+    ...Array.from({ length: callerCount }, (_, caller) => (
+      repeatUntil(endsAt, () => 20 * random(), async () => {
+        seen.push(await callOnce(`soak-${caller}-${seen.length}`, random));
+      }))),
+  ]);
+  expect(seen.filter((answer) => !isTruthful(answer))).toEqual([]);
+  const whole = seen.filter(({ isEnded, body }) => isEnded && body === allEvents);
+  const framings = new Set(whole.map(({ framing }) => framing));
+  expect(framings).toEqual(new Set(['chunked', 'connection']));
+  expect(seen.some(({ status, isEnded }) => status === 200 && !isEnded)).toBe(true);
+});
