--- a/packages/gateway/src/http/server.ts
+++ b/packages/gateway/src/http/server.ts
@@ -44,7 +44,7 @@
   destroy(): void;
 }
 
-/** Longest turn in milliseconds in which hardly any connection arrives that is not accepted. */
+/** Duration in milliseconds below which a turn leaves connections hardly any time to pile up. */
 const shortTurnMs = 0.5;
 
 /**
