Give the page of metrics a module of its own

They move to metrics-page.ts, one function for each subject; the page is the same. No test read it: the new one passes on the code before and after. The search for a free port moves from the process test to test/support, which both use now.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import { createAnswerSink } from './http/answer-sink.js';
 import { createLoadSharing, mayHavePredecessor, type LoadSharing } from './load/load-sharing.js';
 import { createGatewayMetrics, type GatewayMetrics } from './metrics.js';
+import { createMetricsPage } from './metrics-page.js';
 import { createPlacementController } from './placement/controller.js';
 import type { PlatformPorts, StoredRow } from './ports.js';
 import { createTargetProgress } from './requests/progress.js';
@@ -93,7 +94,6 @@
 const lastRequestsMs = 100;
 /** Time limit in milliseconds of the answers to requests on the last accepted connections. */
 const lastAnswersMs = 250;
-const millisecondsPerSecond = 1000;
 
 export async function createGateway(cfg: GatewayOptions, deps: GatewayDeps): Promise<Gateway> {
   const {
@@ -165,7 +165,7 @@
     otherLoads: () => loadSharing?.member,
     crashSeen: metrics.crashSeen,
   });
-  const { targets, selector, loadMonitor } = tracking;
+  const { selector, loadMonitor } = tracking;
 
   const offerConfig = (changed: readonly StoredRow[]) => changed
     .flatMap((row) => tryDecode(row, rows.decodeConfig) ?? [])
@@ -285,20 +285,6 @@
     clock.after(releaseTimeoutMs, resolve);
   })]);
 
-  function recordLoadMetrics() {
-    if (loadSharing) {
-      metrics.loadEntries.set(loadSharing.member.heard());
-      metrics.loadAge.set(loadSharing.member.ageMs() / millisecondsPerSecond);
-    }
-    config.view?.config.services.forEach(({ name: service }) => {
-      const window = serviceStates.of(service).retries;
-      const { retries, denied } = window.counts();
-      metrics.retries.set({ service, state: 'made' }, retries);
-      metrics.retries.set({ service, state: 'denied' }, denied);
-      metrics.retries.set({ service, state: 'allowed' }, window.allowance());
-    });
-  }
-
   const isReady = () => mayServe() && stoppingAt === undefined;
   server = await serveCallers(cfg.front, handle);
   if (config.view) server.apply(config.view.config.limits);
@@ -307,23 +293,10 @@
     answer: async () => ({ status: isReady() ? 200 : 503, type: 'text/plain', body: '' }),
   })];
   if (cfg.metrics) {
-    probes.push(await serveProbe(cfg.metrics, {
-      path: '/metrics',
-      async answer() {
-        config.view?.config.services.forEach(({ name }) => metrics.targets
-          .set({ service: name }, targets.ofService(name).length));
-        [...serviceStates.entries()].forEach(([service, { startQueue }]) => startQueue
-          .countByPriority()
-          .forEach((count, priority) => metrics.waiting.set({ service, priority }, count)));
-        recordLoadMetrics();
-        metrics.limitedTargets.set(targets.all
-          .filter((target) => tracking.rateLimits.limitOf(target) !== undefined).length);
-        metrics.crashingParts.set(tracking.crashTable.crashingParts);
-        return {
-          status: 200, type: metrics.registry.contentType, body: await metrics.registry.metrics(),
-        };
-      },
-    }));
+    const answer = createMetricsPage({
+      metrics, config, serviceStates, tracking, loadSharing,
+    });
+    probes.push(await serveProbe(cfg.metrics, { path: '/metrics', answer }));
   }
   log.info({ zone: cfg.zone, front: cfg.front }, 'gateway started');
 
--- a/test/gateway/metrics.test.ts
+++ b/test/gateway/metrics.test.ts
@@ -1,6 +1,8 @@
 /** Gateway metrics: their labels, and the bound on the number of organisations. */
 import { expect, test } from 'vitest';
 import { createGatewayMetrics } from '@verbenashunt/gateway';
+import { freePort } from '../support/free-port.js';
+import { callGateway, startGatewayFixture } from '../support/gateway-fixture.js';
 
 const countsOf = async (metrics: ReturnType<typeof createGatewayMetrics>) => {
   const { values } = await metrics.registry
@@ -44,3 +46,16 @@
   expect(text).toContain('verbenashunt_gateway_first_byte_seconds_bucket{le="0.05",kind="stream"} 1');
   expect(text).toContain('verbenashunt_gateway_first_byte_seconds_bucket{le="0.025",kind="stream"} 0');
 });
+
+test('the page of metrics shows the state at the time of its request', async () => {
+  const metrics = { host: '127.0.0.1', port: await freePort() };
+  const fixture = await startGatewayFixture({ apps: 2, gateway: { metrics } });
+  const { body } = await callGateway(metrics.port, { path: '/metrics' });
+  await fixture.close();
+  expect(body).toContain('verbenashunt_gateway_targets{service="app"} 2');
+  expect(body).toContain('verbenashunt_gateway_window_retries{service="app",state="made"} 0');
+  expect(body).toMatch(/verbenashunt_gateway_window_retries\{service="app",state="allowed"\} 1\d\d/);
+  expect(body).toContain('verbenashunt_gateway_waiting_requests{service="app",priority="8"} 0');
+  expect(body).toContain('verbenashunt_gateway_limited_targets 0');
+  expect(body).toContain('verbenashunt_gateway_crashing_parts 0');
+});
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -1,7 +1,6 @@
 /** The bundled gateway process as the platform runs it, with a settings file and signals. */
 import { spawn, type ChildProcess } from 'node:child_process';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
-import { createServer, type AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -12,6 +11,7 @@
   operatorConfig, startStore, startTarget, type StoreStandIn, type TargetStandIn,
 } from '@verbenashunt/platform/stand-in';
 import { bundle } from '../../scripts/bundle.mjs';
+import { freePort } from '../support/free-port.js';
 import { callGateway, streamHeaders } from '../support/gateway-fixture.js';
 import { startSteadyCallers } from '../support/steady-callers.js';
 
@@ -20,18 +20,6 @@
 let store: StoreStandIn;
 let engine: TargetStandIn;
 
-async function freePort(): Promise<number> {
-  const server = createServer().listen(0, '127.0.0.1');
-  await new Promise((resolve) => {
-    server.once('listening', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return port;
-}
-
 const settingsText = (frontPort: number, readinessPort: number, graceS = 3) => `
 node = "entry-1"
 zone = "zone-a"
