Let a stop end on longer turns the longer it waits for a short one

On a machine so busy that no turn is short, a stopping entry waited for one until its time was over and closed its listener at any moment, with connections waiting. The limit now grows with the time waited, so that a quiet turn of usual length there ends the wait.

--- a/packages/gateway/src/http/server.ts
+++ b/packages/gateway/src/http/server.ts
@@ -46,6 +46,8 @@
 
 /** Duration in milliseconds below which a turn leaves connections hardly any time to pile up. */
 const shortTurnMs = 0.5;
+/** Increase of that duration per millisecond waited, as turns are never short on a busy VM. */
+const shortTurnGrowth = 0.03;
 
 /**
  * Stops listening after a short turn of the event loop that accepted no connection, or after
@@ -53,7 +55,8 @@
  * not accepted yet, with the requests on them; after a long turn there may be some.
  */
 function stopListeningWhenQuiet({ server, stopListening }: HttpListener, maxMs: number) {
-  const until = performance.now() + maxMs;
+  const startedAt = performance.now();
+  const until = startedAt + maxMs;
   let hasAccepted = true;
   const accepted = () => {
     hasAccepted = true;
@@ -62,7 +65,8 @@
   return new Promise<void>((resolve) => {
     const checkNextTurn = (turnStartedAt: number) => setImmediate(() => {
       const now = performance.now();
-      const isQuiet = !hasAccepted && now - turnStartedAt < shortTurnMs;
+      const longestMs = shortTurnMs + shortTurnGrowth * (now - startedAt);
+      const isQuiet = !hasAccepted && now - turnStartedAt < longestMs;
       if (!isQuiet && now < until) {
         hasAccepted = false;
         checkNextTurn(now);
