Share the search for a free port, and reword what a last reading stumbled over

The search stood in the tests and in bench:gateway-cost; both take it from the stand-ins now. No behaviour of the product changes.

--- a/bench/gateway-cost/process.ts
+++ b/bench/gateway-cost/process.ts
@@ -3,10 +3,10 @@
 import { readFileSync } from 'node:fs';
 import { readFile, writeFile } from 'node:fs/promises';
 import { request } from 'node:http';
-import { createServer, type AddressInfo } from 'node:net';
 import { join } from 'node:path';
 import { fileURLToPath, pathToFileURL } from 'node:url';
 import { parse } from 'smol-toml';
+import { freePort } from '@verbenashunt/stand-ins';
 import { readStats, sleep } from '../capacity/process-stats.js';
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
@@ -36,18 +36,6 @@
   stop(): Promise<ProbeResults>;
 }
 
-async function freePort(): Promise<number> {
-  const server = createServer().listen(0, host);
-  await new Promise((resolve) => {
-    server.once('listening', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return port;
-}
-
 const settingsText = (storeAddress: string, ports: readonly number[]) => `
 node = "entry-1"
 zone = "zone-a"
--- a/packages/gateway/src/http/server.ts
+++ b/packages/gateway/src/http/server.ts
@@ -44,7 +44,7 @@
   destroy(): void;
 }
 
-/** Duration in milliseconds below which a turn leaves connections hardly any time to pile up. */
+/** Duration in milliseconds of a turn in which hardly any connection arrives unaccepted. */
 const shortTurnMs = 0.5;
 /** Increase of that duration per millisecond waited, as turns are never short on a busy VM. */
 const shortTurnGrowth = 0.03;
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -5,6 +5,7 @@
 export * from './service/service.js';
 export * from './link/link.js';
 export * from './platform/platform.js';
+export * from './http/free-port.js';
 export type { StandIn } from './http/server.js';
 export * from './demo/processes.js';
 export * from './demo/cluster.js';
--- a/test/gateway/metrics.test.ts
+++ b/test/gateway/metrics.test.ts
@@ -1,7 +1,7 @@
 /** Gateway metrics: their labels, and the bound on the number of organisations. */
 import { expect, test } from 'vitest';
 import { createGatewayMetrics } from '@verbenashunt/gateway';
-import { freePort } from '../support/free-port.js';
+import { freePort } from '@verbenashunt/stand-ins';
 import { callGateway, startGatewayFixture } from '../support/gateway-fixture.js';
 
 const countsOf = async (metrics: ReturnType<typeof createGatewayMetrics>) => {
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -10,8 +10,8 @@
 import {
   operatorConfig, startStore, startTarget, type StoreStandIn, type TargetStandIn,
 } from '@verbenashunt/platform/stand-in';
+import { freePort } from '@verbenashunt/stand-ins';
 import { bundle } from '../../scripts/bundle.mjs';
-import { freePort } from '../support/free-port.js';
 import { callGateway, streamHeaders } from '../support/gateway-fixture.js';
 import { startSteadyCallers } from '../support/steady-callers.js';
 
