--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -46,13 +46,20 @@
   let sent = 0;
   let isOver = false;
 
-  async function consume() {
-    if (isOver) return;
+  /** Sends a submission, and after a promise that it has not run, once more as a new request. */
+  async function submit(body) {
     sent += 1;
     const headMs = Math.random() * longestHeadMs;
-    answers.push(await sendInParts(link.port, {
-      path: '/write/result', id: `r${sent}`, body: `result ${sent}`, deadlineMs, headMs,
-    }, record));
+    const answer = await sendInParts(link.port, {
+      path: '/write/result', id: `r${sent}`, body, deadlineMs, headMs,
+    }, record);
+    answers.push(answer);
+    if (promises.includes(answer.status)) await submit(body);
+  }
+
+  async function consume() {
+    if (isOver) return;
+    await submit(`result ${sent + 1}`);
     await sleep(Math.random() * pauseMs);
     await consume();
   }
@@ -70,6 +77,8 @@
   isOver = true;
   await Promise.all(consumers);
   const ran = new Set(server.ran.map(({ requestId }) => requestId));
+  const submissions = new Set(server.ran.map(({ body }) => body));
+  record.add(`${server.ran.length - submissions.size} submissions have run a second time`);
   record.add(`${answers.length} requests, ${ran.size} run, ${answers.filter(({ status }) => promises.includes(status)).length} promises`);
   return answers.filter(({ id, status }) => promises.includes(status) && ran.has(id))
     .map(({ id, status }) => `REFUSED: ${id} was answered ${status} and has run`);
