Log by which way and how old a configuration came, and count rows that are not valid

It now says by which way the version came, how long the call took, how old the answer was by the store's clock, and how long it took to apply. The age of the configuration and the rows that are not valid are metrics, and answers and failed attempts name the version that they were handled by.

The store's clock is estimated from the times that its answers state, which relays pass on, so that the age holds however many hops an answer took. No decision rests on it yet.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,7 +27,7 @@
 import {
   acceptMsAtStop, isTooLate, stopMarginMs, stoppingRetryMs,
 } from './requests/stop-window.js';
-import { followTable } from './store/follow.js';
+import { followTable, type RowsOrigin } from './store/follow.js';
 import { createStoreAccess, type StoreAccessOptions } from './store/store-access.js';
 import { createTargetTracking, type TargetTrackingOptions } from './targets/target-tracking.js';
 import { measureTurns } from './turns/long-turns.js';
@@ -123,7 +123,6 @@
   const config = createServingConfigHolder(({ config: { version, limits } }) => {
     configuredAt = Math.min(configuredAt, clock.now());
     metrics.config.set(version);
-    log.info({ version }, 'configuration in force');
     server?.apply(limits);
     events.emit('config', version);
   });
@@ -140,15 +139,31 @@
     loadReceiver: () => loadSharing,
   });
 
-  /** Decodes a row; logs a row that is invalid and returns undefined. */
-  function tryDecode<T>(row: StoredRow, decode: (row: StoredRow) => T | undefined): T | undefined {
+  /** Decodes a row of a table; logs and counts a row that is invalid and returns undefined. */
+  const createRowDecoder = <T>(
+    table: string,
+    decode: (row: StoredRow) => T | undefined,
+  ) => (row: StoredRow): T | undefined => {
     try {
       return decode(row);
     } catch (err) {
-      log.warn({ key: row.key, ...errorFields(err) }, 'row not understood');
+      metrics.rowNotUnderstood(table);
+      log.warn({
+        table, key: row.key, rowVersion: row.version, ...errorFields(err),
+      }, 'row not understood');
       return undefined;
     }
-  }
+  };
+
+  /** Log fields of how rows came and how old they are; times in milliseconds. */
+  const originFields = ({
+    via, asOf, askedAt, receivedAt,
+  }: RowsOrigin) => ({
+    via: via ?? 'store',
+    askedMs: Math.round(receivedAt - askedAt),
+    ageMs: asOf === undefined ? undefined : Math.round(clock.now() - asOf),
+    appliedMs: Math.round(clock.now() - receivedAt),
+  });
 
   const tracking = createTargetTracking(cfg, {
     clock,
@@ -161,15 +176,19 @@
     config,
     protocol: ports.targets,
     meter,
-    decodeTarget: (row) => tryDecode(row, rows.decodeTarget),
+    decodeTarget: createRowDecoder(rows.targetTable, rows.decodeTarget),
     otherLoads: () => loadSharing?.member,
     crashSeen: metrics.crashSeen,
   });
   const { selector, loadMonitor } = tracking;
 
-  const offerConfig = (changed: readonly StoredRow[]) => changed
-    .flatMap((row) => tryDecode(row, rows.decodeConfig) ?? [])
-    .forEach((next) => config.offer(next));
+  const decodeConfig = createRowDecoder(rows.configTable, rows.decodeConfig);
+  function offerConfig(changed: readonly StoredRow[], origin: RowsOrigin) {
+    changed.flatMap((row) => decodeConfig(row) ?? []).forEach((next) => {
+      const isAdopted = config.offer(next);
+      if (isAdopted) log.info({ version: next.version, ...originFields(origin) }, 'configuration in force');
+    });
+  }
   const followDeps = {
     clock, random, log, store, meter,
   };
@@ -294,7 +313,12 @@
   })];
   if (cfg.metrics) {
     const answer = createMetricsPage({
-      metrics, config, serviceStates, tracking, loadSharing,
+      metrics,
+      config,
+      configAgeMs: () => store.ageMs(rows.configTable),
+      serviceStates,
+      tracking,
+      loadSharing,
     });
     probes.push(await serveProbe(cfg.metrics, { path: '/metrics', answer }));
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -19,6 +19,7 @@
 export type * from './store/entry-rows.js';
 export * from './store/follow.js';
 export * from './store/lease-keeper.js';
+export * from './store/store-clock.js';
 export * from './store/target-list.js';
 export * from './requests/chain-watch.js';
 export { causeOf } from './turns/long-turns.js';
--- a/packages/gateway/src/metrics-page.ts
+++ b/packages/gateway/src/metrics-page.ts
@@ -9,6 +9,8 @@
 export interface MetricsPageDeps {
   metrics: GatewayMetrics;
   config: Pick<ServingConfigHolder, 'view'>;
+  /** Time in milliseconds since the configuration was known to be the newest one. */
+  configAgeMs(): number;
   serviceStates: ServiceStates;
   tracking: Pick<TargetTracking, 'targets' | 'rateLimits' | 'crashTable'>;
   /** Undefined without an address for other entries. */
@@ -19,7 +21,7 @@
 
 /** Returns the function that answers a request for the page. */
 export function createMetricsPage({
-  metrics, config, serviceStates, tracking, loadSharing,
+  metrics, config, configAgeMs, serviceStates, tracking, loadSharing,
 }: MetricsPageDeps): ProbeRoute['answer'] {
   const { targets, rateLimits, crashTable } = tracking;
 
@@ -53,6 +55,7 @@
     setQueueGauges();
     config.view?.config.services.forEach(({ name }) => setServiceGauges(name));
     setTargetGauges();
+    metrics.configAge.set(configAgeMs() / millisecondsPerSecond);
     if (loadSharing) setLoadGauges(loadSharing);
     return {
       status: 200, type: metrics.registry.contentType, body: await metrics.registry.metrics(),
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -70,6 +70,12 @@
   const config = new Gauge({
     name: 'verbenashunt_gateway_config_version', help: 'Version of the configuration in force.', registers,
   });
+  const configAge = new Gauge({
+    name: 'verbenashunt_gateway_config_age_seconds', help: 'Time since the store was known to have no newer configuration, by the store\'s clock.', registers,
+  });
+  const rowsNotUnderstood = new Counter({
+    name: 'verbenashunt_gateway_rows_not_understood_total', help: 'Rows of the store that were ignored as they are not valid, by table.', labelNames: ['table'], registers,
+  });
   const targets = new Gauge({
     name: 'verbenashunt_gateway_targets', help: 'Targets known, by service.', labelNames: ['service'], registers,
   });
@@ -126,6 +132,9 @@
   return {
     registry,
     config,
+    configAge,
+    /** Counts a row that was ignored because it is not valid. */
+    rowNotUnderstood: (table: string) => rowsNotUnderstood.inc({ table }),
     targets,
     crashingParts,
     limitedTargets,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -28,6 +28,10 @@
 
 export interface TableState extends StoreState {
   rows: StoredRow[];
+  /** Entry that passed the state on; undefined if the store itself answered. */
+  via?: string;
+  /** When this was the newest state, on this process's clock; undefined if that is not known. */
+  asOf?: number;
 }
 
 export interface RowCondition {
--- a/packages/gateway/src/relay/relayed-store.ts
+++ b/packages/gateway/src/relay/relayed-store.ts
@@ -10,6 +10,7 @@
 import { exchangeOnce, type Exchanger } from '@verbenashunt/wire';
 import type { RowStore, TableState } from '../ports.js';
 import type { EntryRecord } from '../store/entry-rows.js';
+import { createStoreClock } from '../store/store-clock.js';
 import { chooseRelay, type Relay } from './choose-relay.js';
 import { decodeChanges } from './encoding.js';
 import { relayPath } from './relay-server.js';
@@ -32,6 +33,11 @@
   isUpThroughRelay(): boolean;
   /** Log of a table that this entry has followed; undefined for another one. */
   logOf(table: string): TableLog | undefined;
+  /**
+   * Time in milliseconds since what this entry has received of a table was known to be the newest
+   * state; Infinity if it never was.
+   */
+  ageMs(table: string): number;
 }
 
 /** Longest wait of a call to a relay in milliseconds; a lost relay is noticed after it. */
@@ -66,6 +72,9 @@
     clock, log, store, exchanger, node, zone,
   } = deps;
   const logs = new Map<string, TableLog>();
+  const storeClock = createStoreClock(clock);
+  /** When what was received of each table was known to be its newest state. */
+  const newestAsOf = new Map<string, number>();
   /** End of the time for which each relay is avoided, by VM. */
   const avoidedUntil = new Map<string, number>();
   /** Newest era that the store stated; relays answer only for the same one. */
@@ -99,11 +108,22 @@
     }
   }
 
+  /** Returns the state with the time as of which it is the newest one, at least `knownAsOf`. */
+  function withAsOf(table: string, state: TableState, knownAsOf = -Infinity): TableState {
+    storeClock.record(state.now);
+    const asOf = Math.max(knownAsOf, storeClock.toLocal(state.now));
+    newestAsOf.set(table, Math.max(newestAsOf.get(table) ?? -Infinity, asOf));
+    return { ...state, asOf };
+  }
+
   async function changesFromStore(table: string, after: number, waitMs: number) {
+    const askedAt = clock.now();
+    const eraBefore = era;
     const tableLog = logFor(table, waitMs);
     const state = await record(tableLog, store.changes(table, after, waitMs));
+    if (era !== eraBefore) storeClock.reset();
     tableLog.recordChanges(after, state);
-    return state;
+    return withAsOf(table, state, askedAt);
   }
 
   /** Resolves to undefined if the relay can't tell. */
@@ -127,9 +147,12 @@
   ): Promise<TableState | undefined> {
     try {
       const state = await changesFromRelay(relay.address, table, after, waitMs);
-      if (state) relayedAt = clock.now();
-      else avoidedUntil.set(relay.node, clock.now() + avoidBehindMs);
-      return state;
+      if (!state) {
+        avoidedUntil.set(relay.node, clock.now() + avoidBehindMs);
+        return undefined;
+      }
+      relayedAt = clock.now();
+      return { ...withAsOf(table, state), via: relay.node };
     } catch (err) {
       avoidedUntil.set(relay.node, clock.now() + avoidMs);
       const fields = { relay: relay.node, table, ...errorFields(err) };
@@ -162,5 +185,6 @@
     close: store.close,
     isUpThroughRelay: () => clock.now() - relayedAt <= relayedAgeMs,
     logOf: (table) => logs.get(table),
+    ageMs: (table) => clock.now() - (newestAsOf.get(table) ?? -Infinity),
   };
 }
--- a/packages/gateway/src/requests/delivery.ts
+++ b/packages/gateway/src/requests/delivery.ts
@@ -87,6 +87,7 @@
       writer ??= open(start);
       log.info({
         req: id,
+        version: spec.version,
         target: choice.target.id,
         stages: choice.parts.length,
         zones: new Set(choice.parts.map(({ zone }) => zone)).size,
@@ -102,6 +103,7 @@
       deps.firstByteSent(ms);
       log.info({
         req: id,
+        version: spec.version,
         target: choice.target.id,
         status: answer.status,
         isFramed: answer.isFramed,
@@ -113,7 +115,7 @@
     relayFailure(answer, { choice, attempts }) {
       const { status } = answer;
       log.info({
-        req: id, target: choice.target.id, status, attempts,
+        req: id, version: spec.version, target: choice.target.id, status, attempts,
       }, 'failure passed on');
       sink.sendWhole(answer);
     },
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -148,6 +148,7 @@
     deps.attemptFailed(attemptEnd);
     log.info({
       req: spec.caller.id,
+      version: spec.version,
       target: choice!.target.id,
       blamed,
       end: attemptEnd,
--- a/packages/gateway/src/store/follow.ts
+++ b/packages/gateway/src/store/follow.ts
@@ -28,6 +28,13 @@
   meter?: TurnMeter;
 }
 
+/** When and by which way rows reached this entry; times are on its clock. */
+export interface RowsOrigin extends Pick<TableState, 'via' | 'asOf'> {
+  /** When the call that brought them was made. */
+  askedAt: number;
+  receivedAt: number;
+}
+
 export interface FollowedTable {
   table: string;
   /** Long-poll timeout in milliseconds. */
@@ -37,8 +44,8 @@
   /** Called before `onRows` when the store was restored from an older copy. */
   onStoreRestored?(): void;
   /** Called with all rows at the start and whenever changes may have been missed. */
-  onRows(rows: readonly StoredRow[]): void;
-  onChanges(rows: readonly StoredRow[]): void;
+  onRows(rows: readonly StoredRow[], origin: RowsOrigin): void;
+  onChanges(rows: readonly StoredRow[], origin: RowsOrigin): void;
 }
 
 export interface Follower {
@@ -98,23 +105,28 @@
     followed.onStoreRestored?.();
   }
 
+  const originOf = ({ via, asOf }: TableState, askedAt: number): RowsOrigin => ({
+    via, asOf, askedAt, receivedAt: clock.now(),
+  });
+
   async function readAll() {
+    const askedAt = clock.now();
     const state = await store.read(table);
     // A replica that lags behind would bring older rows back.
     if (state.era < (era ?? 0)) throw new HistoryLostError(`${table} was read in era ${state.era}, older than ${era}`);
     if (state.era !== era) recordEra(state);
     if (state.version < newestVersion) throw new HistoryLostError(`${table} was read at version ${state.version}, older than ${newestVersion}`);
     recordAnswer(state);
-    measure(() => followed.onRows(state.rows));
+    measure(() => followed.onRows(state.rows, originOf(state, askedAt)));
   }
 
   /** Applies changes in order, a few in each turn of the event loop. */
-  async function applyChanges(rows: readonly StoredRow[]): Promise<void> {
+  async function applyChanges(rows: readonly StoredRow[], origin: RowsOrigin): Promise<void> {
     const rest = rows.slice(rowsPerTurn);
-    measure(() => followed.onChanges(rows.slice(0, rowsPerTurn)));
+    measure(() => followed.onChanges(rows.slice(0, rowsPerTurn), origin));
     if (rest.length === 0) return;
     await new Promise(setImmediate);
-    if (!isClosed) await applyChanges(rest);
+    if (!isClosed) await applyChanges(rest, origin);
   }
 
   async function readChanges(after: number) {
@@ -127,7 +139,7 @@
     if (state.rows.length === 0) return;
     const isImmediate = clock.now() - askedAt < immediateMs;
     batchMs = isImmediate ? Math.min(maxBatchMs, 2 * batchMs) : minBatchMs;
-    await applyChanges(state.rows);
+    await applyChanges(state.rows, originOf(state, askedAt));
     await wait(batchMs);
   }
 
--- a/packages/gateway/src/store/store-access.ts
+++ b/packages/gateway/src/store/store-access.ts
@@ -39,7 +39,7 @@
 export interface StoreAccess {
   lease: LeaseKeeper;
   /** The store, with changes followed through a relay where the bounds allow it. */
-  store: RowStore;
+  store: RelayedStore;
   /** Rows that entries send to each other while the store does not take them. */
   announcements: Announcements;
   /** For calls to other entries. */
