Reproduce CONFIG: changes arrive late through a relay that is lost or passes on old answers

A zone of four entries and a store, each behind a proxy, measures how late a change arrives at the entries in touch.

The long poll sent into the outage (2.2 s), the time in which the store isn't asked again (1.5 s) and the pause after failures (0.9 s) add up. - A relay that passes on an old answer keeps its followers from ever asking the store.

A change behind a relay that loses the store and then freezes is in time here, since a table log is up to date for 0.8 s only: its limit is taken from the first call, which does not wait. So followers of a quiet table are turned away by their relay for half of the time and call the store themselves.

--- a/packages/gateway/src/store/target-list.ts
+++ b/packages/gateway/src/store/target-list.ts
@@ -22,7 +22,9 @@
   decode(row: StoredRow): ServingTarget | undefined;
 }
 
-export interface TargetList extends Omit<FollowedTable, 'table' | 'waitMs'> {
+export interface TargetList extends Pick<FollowedTable, 'onStoreRecovered' | 'onStoreRestored'> {
+  onRows(rows: readonly StoredRow[]): void;
+  onChanges(rows: readonly StoredRow[]): void;
   /** When the row of a target last changed, on the entry's clock; -Infinity if it never did. */
   changedAt(id: string): number;
   close(): void;
--- a/test/gateway/store-clock.test.ts
+++ b/test/gateway/store-clock.test.ts
@@ -1,4 +1,6 @@
-/** Estimates of the store's clock: old answers must not look new, and drift must not make new ones look old. */
+/**
+ * The estimate of the store's clock: an old answer must not look new, nor a new one old by drift.
+ */
 import { expect, test } from 'vitest';
 import { ManualClock } from '@verbenashunt/core';
 import { createStoreClock } from '@verbenashunt/gateway';
--- a/test/support/relay.ts
+++ b/test/support/relay.ts
@@ -23,6 +23,10 @@
   readonly acceptedCount: number;
   /** Discards data without closing the connections, as a network partition does. */
   dropData(options?: DropOptions): void;
+  /** Holds data back, on new connections too, as if the process behind the relay were frozen. */
+  pause(): void;
+  /** Passes on what `pause` has held back. */
+  resume(): void;
   /** Closes all open connections with a TCP reset. */
   resetConnections(): void;
   /** Delays data by this time in each direction. */
@@ -48,6 +52,7 @@
   let newConnectionDrop: DropOptions | undefined;
   let delayMs = 0;
   let acceptedCount = 0;
+  let isPaused = false;
 
   function applyDrop(connection: RelayedConnection, { direction = 'both', role }: DropOptions) {
     if (role && connection.role !== role) return;
@@ -90,6 +95,10 @@
       forward(chunk, target, () => connection.dropsUp);
     });
     target.on('data', (chunk: Buffer) => forward(chunk, dialer, () => connection.dropsDown));
+    if (isPaused) {
+      dialer.pause();
+      target.pause();
+    }
     const closeWith = (other: Socket) => () => {
       connections.delete(connection);
       other.destroy();
@@ -114,6 +123,14 @@
       connections.forEach((connection) => applyDrop(connection, options));
       if (options.includeNew) newConnectionDrop = options;
     },
+    pause() {
+      isPaused = true;
+      connections.forEach(({ dialer, target }) => [dialer, target].forEach((end) => end.pause()));
+    },
+    resume() {
+      isPaused = false;
+      connections.forEach(({ dialer, target }) => [dialer, target].forEach((end) => end.resume()));
+    },
     resetConnections() {
       connections.forEach(({ dialer, target }) => {
         dialer.resetAndDestroy();
