Ask the store itself when what a relay passes on gets old

Each hop from the store to an entry had its own timeout and counted the age of an answer from its own receipt, so delays added up: a relay answers 'nothing has changed' from what it knows, is then lost, and only the end of the last wait shows it. A read from a replica that lags behind made a relay count as up to date as well.

Every answer of the store states the store's time, and relays pass it on. An entry now knows as of when its state of a table is the newest, and asks the store at an age of bound - 300 ms - 700 ms; a relay is waited for only as long as that leaves time, and so is the store. A read no longer makes a log up to date. A log is up to date for 2.3 s after an answer, as was meant: its limit had been taken from the first call, which does not wait (0.8 s), so that followers of a quiet table called the store for half of the time.

Replaced in relay.test.ts: three checks that a log answers after a read alone, which is the fault; they now record an answer to changes first, and two new tests check that a read does not suffice. The relays' delay is held to 2.0 + 0.3 s instead of 2.3 + 0.3 s.

--- a/packages/gateway/src/relay/relayed-store.ts
+++ b/packages/gateway/src/relay/relayed-store.ts
@@ -1,7 +1,8 @@
 /**
  * A store whose changes are followed through another entry of the zone where possible. Whenever
- * that entry does not answer in time or can't tell, the call goes to the store itself, so a lost
- * relay delays changes by at most one timeout.
+ * that entry does not answer in time or can't tell, and whenever what it passes on gets old, the
+ * call goes to the store itself. So changes are delayed by a limited time, however many relays are
+ * lost one after the other.
  */
 import type { Logger } from 'pino';
 import {
@@ -23,8 +24,11 @@
   exchanger: Exchanger;
   node: string;
   zone: string;
-  /** Whether the bounds of the settings leave time to notice a lost relay. */
-  isEnabled(): boolean;
+  /**
+   * Age in milliseconds of what is known of a table at which the store itself is asked. A relay is
+   * used if this leaves time for its answers.
+   */
+  maxAgeMs(): number;
   entries(): readonly EntryRecord[];
 }
 
@@ -40,8 +44,8 @@
   ageMs(table: string): number;
 }
 
-/** Longest wait of a call to a relay in milliseconds; a lost relay is noticed after it. */
-const relayWaitMs = 1500;
+/** Longest wait of a call to a relay or the store in milliseconds. */
+const maxWaitMs = 1500;
 /** Time in milliseconds within which a relay answers, beyond the wait that a call asks for. */
 const relaySlackMs = 300;
 /** Time in milliseconds within which the store answers, beyond the wait that a call asks for. */
@@ -55,17 +59,14 @@
  * failure, so that an outage of the store does not bring calls of all entries.
  */
 const storeRetryMs = 1500;
-/** Time in milliseconds after an answer of a relay for which the store counts as up. */
-const relayedAgeMs = 2500;
+/** Age in milliseconds of what a relay has passed on up to which the store counts as up. */
+const relayedAgeMs = 2 * maxWaitMs + relaySlackMs;
 /** Fewest entries of a zone for which a relay is used; with fewer, it saves next to nothing. */
 const minEntries = 3;
 const statusOk = 200;
 
-/**
- * Longest time in milliseconds by which a follower learns of a change later through a relay: the
- * relay notices that it has lost the store, or the follower that it has lost the relay.
- */
-export const maxRelayDelayMs = Math.max(relayWaitMs + relaySlackMs, relayWaitMs + storeSlackMs);
+/** Shortest `maxAgeMs` with which a relay is used: what it passes on may be as old as a wait. */
+const minAgeLimitMs = maxWaitMs + relaySlackMs;
 
 export function createRelayedStore(deps: RelayedStoreDeps): RelayedStore {
   const {
@@ -79,17 +80,19 @@
   const avoidedUntil = new Map<string, number>();
   /** Newest era that the store stated; relays answer only for the same one. */
   let era = 0;
-  /** When a relay last passed on the state of the store. */
-  let relayedAt = -Infinity;
+  /** Time as of which a relay has passed on the newest state of the store. */
+  let relayedAsOf = -Infinity;
   /** When the store may be called again after a failure, by an entry that has a relay. */
   let storeRetryAt = -Infinity;
 
   const isAvoided = (other: string) => (avoidedUntil.get(other) ?? -Infinity) > clock.now();
 
-  function logFor(table: string, waitMs: number): TableLog {
+  const ageMs = (table: string) => clock.now() - (newestAsOf.get(table) ?? -Infinity);
+
+  function logFor(table: string): TableLog {
     const known = logs.get(table);
     if (known) return known;
-    const created = createTableLog(clock, waitMs + storeSlackMs);
+    const created = createTableLog(clock, maxWaitMs + storeSlackMs);
     logs.set(table, created);
     return created;
   }
@@ -108,8 +111,14 @@
     }
   }
 
+  /** A restored store may have another clock. */
+  function startEra() {
+    storeClock.reset();
+    newestAsOf.clear();
+  }
+
   /** Returns the state with the time as of which it is the newest one, at least `knownAsOf`. */
-  function withAsOf(table: string, state: TableState, knownAsOf = -Infinity): TableState {
+  function withAsOf(table: string, state: TableState, knownAsOf = -Infinity) {
     storeClock.record(state.now);
     const asOf = Math.max(knownAsOf, storeClock.toLocal(state.now));
     newestAsOf.set(table, Math.max(newestAsOf.get(table) ?? -Infinity, asOf));
@@ -119,9 +128,9 @@
   async function changesFromStore(table: string, after: number, waitMs: number) {
     const askedAt = clock.now();
     const eraBefore = era;
-    const tableLog = logFor(table, waitMs);
+    const tableLog = logFor(table);
     const state = await record(tableLog, store.changes(table, after, waitMs));
-    if (era !== eraBefore) storeClock.reset();
+    if (era !== eraBefore) startEra();
     tableLog.recordChanges(after, state);
     return withAsOf(table, state, askedAt);
   }
@@ -151,8 +160,9 @@
         avoidedUntil.set(relay.node, clock.now() + avoidBehindMs);
         return undefined;
       }
-      relayedAt = clock.now();
-      return { ...withAsOf(table, state), via: relay.node };
+      const current = withAsOf(table, state);
+      relayedAsOf = Math.max(relayedAsOf, current.asOf);
+      return { ...current, via: relay.node };
     } catch (err) {
       avoidedUntil.set(relay.node, clock.now() + avoidMs);
       const fields = { relay: relay.node, table, ...errorFields(err) };
@@ -162,6 +172,22 @@
     }
   }
 
+  const findRelay = () => (deps.maxAgeMs() >= minAgeLimitMs
+    ? chooseRelay(deps.entries(), {
+      node, zone, minEntries, isAvoided,
+    })
+    : undefined);
+
+  /**
+   * Time in milliseconds that a call to a relay may wait, so that the store is asked in time if it
+   * is in vain; negative if there is none.
+   */
+  function relayTimeMs(table: string) {
+    const storeDueMs = deps.maxAgeMs() - ageMs(table);
+    const storeRetryInMs = storeRetryAt - clock.now();
+    return Math.min(maxWaitMs, Math.max(storeDueMs, storeRetryInMs) - relaySlackMs);
+  }
+
   return {
     async read(table) {
       const state = await store.read(table);
@@ -170,21 +196,19 @@
       return state;
     },
     async changes(table, after, waitMs) {
-      const relay = deps.isEnabled()
-        ? chooseRelay(deps.entries(), {
-          node, zone, minEntries, isAvoided,
-        })
-        : undefined;
-      const relayed = relay && await tryRelay(relay, table, after, Math.min(waitMs, relayWaitMs));
+      const relay = findRelay();
+      if (!relay) return changesFromStore(table, after, waitMs);
+      const relayMs = Math.min(waitMs, relayTimeMs(table));
+      const relayed = relayMs < 0 ? undefined : await tryRelay(relay, table, after, relayMs);
       if (relayed) return relayed;
-      const mustWait = relay !== undefined && clock.now() < storeRetryAt;
-      if (mustWait) throw new PlatformError(`neither the store nor ${relay.node} could tell`);
-      return changesFromStore(table, after, waitMs);
+      if (clock.now() < storeRetryAt) throw new PlatformError(`neither the store nor ${relay.node} could tell`);
+      const timeLeftMs = Math.max(0, deps.maxAgeMs() - ageMs(table));
+      return changesFromStore(table, after, Math.min(waitMs, timeLeftMs));
     },
     write: store.write,
     close: store.close,
-    isUpThroughRelay: () => clock.now() - relayedAt <= relayedAgeMs,
+    isUpThroughRelay: () => clock.now() - relayedAsOf <= relayedAgeMs,
     logOf: (table) => logs.get(table),
-    ageMs: (table) => clock.now() - (newestAsOf.get(table) ?? -Infinity),
+    ageMs,
   };
 }
--- a/packages/gateway/src/relay/table-log.ts
+++ b/packages/gateway/src/relay/table-log.ts
@@ -7,7 +7,10 @@
 import type { StoredRow, TableState } from '../ports.js';
 
 export interface TableLog {
-  /** Records a read of all rows. */
+  /**
+   * Records a read of all rows, which may come from a replica that lags behind; the changes after
+   * it tell whether it is up to date.
+   */
   recordRead(state: TableState): void;
   /** Records the changes after a version. */
   recordChanges(after: number, state: TableState): void;
@@ -47,9 +50,10 @@
   const isUpToDate = () => start !== undefined && clock.now() - answeredAt <= maxAgeMs;
   const wakeAll = () => [...waiters].forEach((waiter) => waiter.check());
 
-  /** Forgets all batches; the log starts after `version`. */
+  /** Forgets all batches; the log starts after `version`, and is not up to date yet. */
   function restart(version: number, { era, now }: TableState) {
     start = version;
+    answeredAt = -Infinity;
     batches = [];
     newest = { version, era, now };
   }
@@ -77,14 +81,13 @@
         && state.version <= newest.version;
       // What changed between the log's newest version and this read is not known.
       if (!isContinued) restart(state.version, state);
-      recordAnswer();
     },
     recordChanges(after, state) {
       const isContinued = start !== undefined && state.era === newest.era
         && after <= newest.version;
       if (!isContinued) restart(after, state);
-      if (state.version > newest.version) {
-        if (state.rows.length > 0) append(state);
+      if (state.version > newest.version && state.rows.length > 0) append(state);
+      if (state.version >= newest.version) {
         newest = { version: state.version, era: state.era, now: state.now };
       }
       recordAnswer();
--- a/packages/gateway/src/store/store-access.ts
+++ b/packages/gateway/src/store/store-access.ts
@@ -9,7 +9,7 @@
 import type { LoadReceiver } from '../load/load-server.js';
 import type { RowStore } from '../ports.js';
 import { createAnnouncements, type Announcements } from '../relay/announcements.js';
-import { createRelayedStore, maxRelayDelayMs, type RelayedStore } from '../relay/relayed-store.js';
+import { createRelayedStore, type RelayedStore } from '../relay/relayed-store.js';
 import { serveRelay } from '../relay/relay-server.js';
 import type { RateLimiter } from '../targets/rate-limiter.js';
 import { createLeaseKeeper, type LeaseKeeper } from './lease-keeper.js';
@@ -53,6 +53,8 @@
 const keepAliveMs = 4000;
 /** Time in milliseconds in which a change that has arrived takes hold, on a busy VM. */
 const applyMarginMs = 300;
+/** Time in milliseconds that a call to the store takes which gets no answer. */
+const lostCallMs = 700;
 
 export async function createStoreAccess(
   {
@@ -84,7 +86,7 @@
     exchanger,
     node,
     zone,
-    isEnabled: () => deps.changeBoundMs() > maxRelayDelayMs + applyMarginMs,
+    maxAgeMs: () => deps.changeBoundMs() - applyMarginMs - lostCallMs,
     entries: lease.entries,
   });
   return {
--- a/test/gateway/change-delay.test.ts
+++ b/test/gateway/change-delay.test.ts
@@ -12,6 +12,8 @@
 
 /** Time in milliseconds within which a change must take hold. */
 const changeBoundMs = 3000;
+/** Age limit of entries for this bound. */
+const maxAgeMs = 2000;
 /** Time in milliseconds after a disturbance of an entry or the store until the bound holds. */
 const inTouchAfterMs = 4000;
 const size = 4;
@@ -31,7 +33,7 @@
 });
 
 async function startZone() {
-  const zone = await startProxiedZone({ size, changeBoundMs });
+  const zone = await startProxiedZone({ size, maxAgeMs });
   zones.push(zone);
   // Followers have found their relay.
   await wait(2500);
--- a/test/gateway/relay.test.ts
+++ b/test/gateway/relay.test.ts
@@ -9,13 +9,15 @@
 import { ManualClock, PlatformError, SystemClock } from '@verbenashunt/core';
 import {
   chooseRelay, createRelayedStore, createTableLog, decodeChanges, encodeChanges, followTable,
-  maxRelayDelayMs, serveRelay, type EntryRecord, type RowStore, type TableState,
+  serveRelay, type EntryRecord, type RowStore, type TableState,
 } from '@verbenashunt/gateway';
 import { createPlatformPorts } from '@verbenashunt/platform';
 import { startStore, type StoreStandIn } from '@verbenashunt/platform/stand-in';
 import { createExchanger } from '@verbenashunt/wire';
 
 const log = pino({ level: 'silent' });
+/** Age in milliseconds at which the entries ask the store itself. */
+const maxAgeMs = 2000;
 const cleanups: (() => unknown)[] = [];
 let store: StoreStandIn;
 
@@ -50,11 +52,32 @@
   const tableLog = createTableLog(new ManualClock(), 2000);
   expect(await tableLog.changes(0, 0, 0)).toBeUndefined();
   tableLog.recordRead(stateOf(10));
+  tableLog.recordChanges(10, stateOf(10));
   expect(await tableLog.changes(9, 0, 0)).toBeUndefined();
   expect(await tableLog.changes(10, 1, 0)).toBeUndefined();
   expect(await tableLog.changes(11, 0, 0)).toMatchObject({ rows: [], version: 11 });
 });
 
+test('a log can not tell after a read alone, which may come from a replica that lags behind', async () => {
+  const tableLog = createTableLog(new ManualClock(), 2000);
+  tableLog.recordRead(stateOf(10));
+  expect(await tableLog.changes(10, 0, 0)).toBeUndefined();
+  tableLog.recordChanges(10, stateOf(11, ['a']));
+  tableLog.recordFailure();
+  tableLog.recordRead(stateOf(10));
+  expect(await tableLog.changes(11, 0, 0)).toBeUndefined();
+  tableLog.recordChanges(11, stateOf(12, ['b']));
+  tableLog.recordRead(stateOf(30));
+  expect(await tableLog.changes(30, 0, 0)).toBeUndefined();
+});
+
+test('a log passes on when the store last answered, also without changes', async () => {
+  const tableLog = createTableLog(new ManualClock(), 2000);
+  tableLog.recordRead(stateOf(10));
+  tableLog.recordChanges(10, { ...stateOf(10), now: 700 });
+  expect(await tableLog.changes(10, 0, 0)).toMatchObject({ now: 700 });
+});
+
 test('a log starts anew after a gap, a later read and a new era', async () => {
   const tableLog = createTableLog(new ManualClock(), 2000);
   tableLog.recordRead(stateOf(10));
@@ -64,6 +87,7 @@
   tableLog.recordRead(stateOf(30));
   expect(await tableLog.changes(21, 0, 0)).toBeUndefined();
   tableLog.recordRead(stateOf(5, [], 1));
+  tableLog.recordChanges(5, stateOf(5, [], 1));
   expect(await tableLog.changes(30, 0, 0)).toBeUndefined();
   expect(await tableLog.changes(5, 1, 0)).toMatchObject({ rows: [], era: 1 });
 });
@@ -72,6 +96,7 @@
   const clock = new ManualClock();
   const tableLog = createTableLog(clock, 2000);
   tableLog.recordRead(stateOf(10));
+  tableLog.recordChanges(10, stateOf(10));
   const waiting = tableLog.changes(10, 0, 5000);
   clock.advance(2001);
   expect(await waiting).toBeUndefined();
@@ -160,7 +185,7 @@
       exchanger,
       node,
       zone: 'zone-a',
-      isEnabled: () => true,
+      maxAgeMs: () => maxAgeMs,
       entries: () => entries,
     });
     const relay = await serveRelay({ host: '127.0.0.1', port: 0 }, {
@@ -224,9 +249,9 @@
   store.put('t', 'a', 'later');
   const others = zone.slice(1);
   await expectSeen(others, 'later');
-  // On top of the relay's delay, time for the call to the store.
+  // On top of that age, time for the call to the store.
   const delaysMs = others.map(({ seen }) => seen.at(-1)!.at - lostAt);
-  expect(Math.max(...delaysMs)).toBeLessThan(maxRelayDelayMs + 300);
+  expect(Math.max(...delaysMs)).toBeLessThan(maxAgeMs + 300);
 });
 
 test('an outage of the store brings few calls of the entries that have a relay', async () => {
--- a/test/support/proxied-zone.ts
+++ b/test/support/proxied-zone.ts
@@ -36,13 +36,15 @@
 
 export interface ProxiedZoneOptions {
   size: number;
-  /** Time in milliseconds within which a change must take hold. */
-  changeBoundMs: number;
+  /** See `RelayedStoreDeps.maxAgeMs`. */
+  maxAgeMs: number;
 }
 
 const portOf = (address: string) => Number(address.split(':')[1]);
 
-export async function startProxiedZone({ size }: ProxiedZoneOptions): Promise<ProxiedZone> {
+export async function startProxiedZone(
+  { size, maxAgeMs }: ProxiedZoneOptions,
+): Promise<ProxiedZone> {
   const store = await startStore();
   const entries: EntryRecord[] = [];
   const cleanups: (() => unknown)[] = [store.close];
@@ -69,7 +71,7 @@
       exchanger,
       node,
       zone: 'zone-a',
-      isEnabled: () => true,
+      maxAgeMs: () => maxAgeMs,
       entries: () => entries,
     });
     const server = await serveRelay({ host, port: 0 }, {
