Close kept connections to the store when one of them got no response

Changes were in force late (CONFIG) at entries whose connections had gone silent: each call took another kept connection, and each of these was noticed by a timeout of its own only, up to 2.2 s for a call that waits for changes. Four may be kept.

When a call to the store gets no response, the idle connections to it are closed, so the next call opens a new one. The test fails before: the second call after the silence is not answered within 0.7 s either.

--- a/packages/gateway/src/targets/target-exchanger.ts
+++ b/packages/gateway/src/targets/target-exchanger.ts
@@ -124,5 +124,5 @@
       : startWithToken(target, limitPerS, ...exchangeArgs);
   }
 
-  return { start, close: exchanger.close };
+  return { start, dropIdle: exchanger.dropIdle, close: exchanger.close };
 }
--- a/packages/gateway/src/turns/metered.ts
+++ b/packages/gateway/src/turns/metered.ts
@@ -22,5 +22,6 @@
     end: () => meter.run(cause, () => handler.end()),
     failed: (err, isSent) => meter.run(cause, () => handler.failed(err, isSent)),
   }, options),
+  dropIdle: (address) => exchanger.dropIdle(address),
   close: () => exchanger.close(),
 });
--- a/packages/wire/src/connection-pool.ts
+++ b/packages/wire/src/connection-pool.ts
@@ -35,6 +35,8 @@
   /** Keeps a connection that is idle for a later exchange. */
   giveBack(address: string, connection: Connection): void;
   destroy(connection: Connection): void;
+  /** Closes the idle connections to an address. */
+  dropIdle(address: string): void;
   close(): void;
 }
 
@@ -115,6 +117,10 @@
     take: (address) => takeIdle(address) ?? open(address),
     giveBack,
     destroy,
+    dropIdle(address) {
+      idleConnections.get(address)?.forEach(destroy);
+      idleConnections.delete(address);
+    },
     close: () => [...openConnections].forEach(destroy),
   };
 }
--- a/packages/wire/src/exchange.ts
+++ b/packages/wire/src/exchange.ts
@@ -51,6 +51,11 @@
     handler: ExchangeHandler,
     options: ExchangeOptions,
   ): Exchange;
+  /**
+   * Closes the idle connections to an address. To be called when one of them has gone silent, as
+   * the others may have as well, which only a timeout shows.
+   */
+  dropIdle(address: string): void;
   close(): void;
 }
 
@@ -189,6 +194,7 @@
         return createFailedExchange(handler, new TargetError(`${address} can't be connected to`, { cause: err }));
       }
     },
+    dropIdle: pool.dropIdle,
     close() {
       clearInterval(overheadTimer);
       pool.close();
--- a/test/gateway/order-permit.test.ts
+++ b/test/gateway/order-permit.test.ts
@@ -31,6 +31,7 @@
       calls.push({ path, handler });
       return { isSent: true, abort() {} };
     },
+    dropIdle() {},
     close() {},
   };
   const config = createServingConfigHolder();
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -9,6 +9,7 @@
 import { createLeaseKeeper, followTable, type StoredRow } from '@verbenashunt/gateway';
 import { createPlatformPorts } from '@verbenashunt/platform';
 import { startStore, type StoreStandIn } from '@verbenashunt/platform/stand-in';
+import { createRelay } from '../support/relay.js';
 
 const clock = new SystemClock();
 const log = pino({ level: 'silent' });
@@ -26,6 +27,7 @@
   await Promise.all(cleanups.splice(0).reverse().map((cleanup) => cleanup()));
 });
 
+const waitOptions = { timeout: 6000, interval: 10 };
 const rowWrite = (key: string, value: string) => ({ table: 't', key, value: Buffer.from(value) });
 
 test('writes rows only if the expected versions hold', async () => {
@@ -63,6 +65,20 @@
   await expect(createClient().changes('t', 0, 10)).rejects.toThrow(HistoryLostError);
 });
 
+test('after a call without response, no kept connection is used that may be silent too', async () => {
+  const relay = await createRelay(Number(store.address.split(':')[1]));
+  cleanups.push(relay.close);
+  const client = createPlatformPorts(`127.0.0.1:${relay.port}`).store;
+  // Each table has a call at the same time, and each call a connection.
+  await Promise.all(['a', 'b', 'c'].map((table) => client.changes(table, 0, 50)));
+  await vi.waitFor(() => expect(relay.openCount).toBe(3), waitOptions);
+  await new Promise(setImmediate);
+  relay.dropData();
+  await expect(client.read('a')).rejects.toThrow(PlatformError);
+  expect(await client.read('a')).toMatchObject({ rows: [] });
+  expect(await client.read('b')).toMatchObject({ rows: [] });
+});
+
 function startFollower() {
   const seen: string[] = [];
   const record = (kind: string) => (rows: readonly StoredRow[]) => seen
@@ -77,7 +93,6 @@
   return { seen, follower, outagesMs };
 }
 
-const waitOptions = { timeout: 6000, interval: 10 };
 const expectLast = (seen: string[], text: string) => vi
   .waitFor(() => expect(seen.at(-1)).toBe(text), waitOptions);
 
