Ask a store that failed briefly, so that its return is noticed in time

After an outage a call that had been sent into it waited for changes and got no answer for 2.2 s, then the entry paused for up to 0.9 s, and one with a relay let 1.5 s pass since the end of the failed call: together longer than the time after which entries count as in touch (4 s, or 3 s without relays), so callers were handled by a configuration that had been replaced (CONFIG).

After a failure the next call does not wait for changes, which takes a silent store 0.7 s, and the pause between failing calls counts from the start of the call. The test of the follower fails before (it waits 900 ms in each call).

--- a/packages/gateway/src/relay/relayed-store.ts
+++ b/packages/gateway/src/relay/relayed-store.ts
@@ -55,8 +55,8 @@
 /** Time in milliseconds for which a relay that could not tell is avoided. */
 const avoidBehindMs = 1000;
 /**
- * Time in milliseconds for which an entry that has a relay does not call the store again after a
- * failure, so that an outage of the store does not bring calls of all entries.
+ * Time in milliseconds between calls to the store that fail, by an entry that has a relay, so that
+ * an outage of the store does not bring calls of all entries.
  */
 const storeRetryMs = 1500;
 /** Age in milliseconds of what a relay has passed on up to which the store counts as up. */
@@ -98,6 +98,7 @@
   }
 
   async function record(tableLog: TableLog, call: Promise<TableState>): Promise<TableState> {
+    const startedAt = clock.now();
     try {
       const state = await call;
       era = state.era;
@@ -106,7 +107,7 @@
     } catch (err) {
       tableLog.recordFailure();
       // With lost history the store did answer.
-      if (!(err instanceof HistoryLostError)) storeRetryAt = clock.now() + storeRetryMs;
+      if (!(err instanceof HistoryLostError)) storeRetryAt = startedAt + storeRetryMs;
       throw err;
     }
   }
--- a/packages/gateway/src/store/follow.ts
+++ b/packages/gateway/src/store/follow.ts
@@ -131,7 +131,9 @@
 
   async function readChanges(after: number) {
     const askedAt = clock.now();
-    const state = await store.changes(table, after, isConfirmed ? waitMs : 0);
+    // After a failure the store answers at once, or shows soon that it is still silent.
+    const mayWait = isConfirmed && failures === 0;
+    const state = await store.changes(table, after, mayWait ? waitMs : 0);
     // The version to continue from belongs to another era, so changes may be missing.
     if (state.era !== era) throw new HistoryLostError(`${table} was followed from era ${era} to ${state.era}`);
     recordAnswer(state);
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -6,7 +6,9 @@
 import {
   ConflictError, HistoryLostError, PlatformError, PlatformRateError, SystemClock,
 } from '@verbenashunt/core';
-import { createLeaseKeeper, followTable, type StoredRow } from '@verbenashunt/gateway';
+import {
+  createLeaseKeeper, followTable, type RowStore, type StoredRow,
+} from '@verbenashunt/gateway';
 import { createPlatformPorts } from '@verbenashunt/platform';
 import { startStore, type StoreStandIn } from '@verbenashunt/platform/stand-in';
 import { createRelay } from '../support/relay.js';
@@ -79,6 +81,33 @@
   expect(await client.read('b')).toMatchObject({ rows: [] });
 });
 
+test('a store that failed is first asked without a wait, which a silent one would hold up', async () => {
+  const waits: number[] = [];
+  const failing = [2, 3];
+  const state = {
+    rows: [], version: 1, era: 0, now: 0,
+  };
+  const client: RowStore = {
+    ...createClient(),
+    read: async () => state,
+    async changes(_, __, waitMs) {
+      waits.push(waitMs);
+      const isFailing = failing.includes(waits.length - 1);
+      await new Promise(setImmediate);
+      if (isFailing) throw new PlatformError('no response');
+      return state;
+    },
+  };
+  const follower = followTable({
+    table: 't', waitMs: 900, onRows() {}, onChanges() {},
+  }, {
+    clock, random, log, store: client,
+  });
+  cleanups.push(follower.close);
+  await vi.waitFor(() => expect(waits.length).toBeGreaterThan(5), waitOptions);
+  expect(waits.slice(0, 6)).toEqual([0, 900, 900, 0, 0, 900]);
+});
+
 function startFollower() {
   const seen: string[] = [];
   const record = (kind: string) => (rows: readonly StoredRow[]) => seen
