Read a table again when a changed row could not be applied

A follower took over the version of an answer before its rows were applied. If applying one threw, that row and those of the same turn after it were never seen again, though the entry went on as if it were up to date: a change that was received and is not in force. By reading no row of today's tables throws there; the test makes one throw.

Each changed row is applied on its own, a failure is logged as 'rows not applied', and the table is read again. If a whole read can't be applied, later changes are still followed. The test fails before: the row that threw once is never applied.

--- a/packages/gateway/src/store/follow.ts
+++ b/packages/gateway/src/store/follow.ts
@@ -45,6 +45,7 @@
   onStoreRestored?(): void;
   /** Called with all rows at the start and whenever changes may have been missed. */
   onRows(rows: readonly StoredRow[], origin: RowsOrigin): void;
+  /** Called with each changed row; if it throws, all rows are read again. */
   onChanges(rows: readonly StoredRow[], origin: RowsOrigin): void;
 }
 
@@ -83,6 +84,17 @@
   const measure = (work: () => void) => (
     deps.meter ? deps.meter.run(`rows of ${table}`, work) : work());
 
+  /** Returns whether the work threw nothing; logs what it throws. */
+  function tryToApply(fields: object, work: () => void): boolean {
+    try {
+      measure(work);
+      return true;
+    } catch (err) {
+      log.error({ table, ...fields, ...errorFields(err) }, 'rows not applied');
+      return false;
+    }
+  }
+
   function recordAnswer(state: TableState) {
     const awayMs = clock.now() - answeredAt;
     if (failures > 0) {
@@ -117,13 +129,18 @@
     if (state.era !== era) recordEra(state);
     if (state.version < newestVersion) throw new HistoryLostError(`${table} was read at version ${state.version}, older than ${newestVersion}`);
     recordAnswer(state);
-    measure(() => followed.onRows(state.rows, originOf(state, askedAt)));
+    const origin = originOf(state, askedAt);
+    // Reading again would fail alike, so later changes are followed in any case.
+    tryToApply({ rows: state.rows.length }, () => followed.onRows(state.rows, origin));
   }
 
   /** Applies changes in order, a few in each turn of the event loop. */
   async function applyChanges(rows: readonly StoredRow[], origin: RowsOrigin): Promise<void> {
     const rest = rows.slice(rowsPerTurn);
-    measure(() => followed.onChanges(rows.slice(0, rowsPerTurn), origin));
+    rows.slice(0, rowsPerTurn).forEach((row) => {
+      const isApplied = tryToApply({ key: row.key }, () => followed.onChanges([row], origin));
+      if (!isApplied) version = undefined;
+    });
     if (rest.length === 0) return;
     await new Promise(setImmediate);
     if (!isClosed) await applyChanges(rest, origin);
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -135,6 +135,42 @@
   await expectLast(seen, 'changes a=gone');
 });
 
+test('rows after one that can not be applied are not lost', async () => {
+  const seen: string[] = [];
+  let isBroken = true;
+  const apply = (rows: readonly StoredRow[]) => rows.forEach(({ key, value }) => {
+    if (key === 'odd' && isBroken) {
+      isBroken = false;
+      throw new TypeError('odd row');
+    }
+    seen.push(`${key}=${value}`);
+  });
+  const follower = followTable({ table: 't', onRows: apply, onChanges: apply }, {
+    clock, random, log, store: createClient(),
+  });
+  cleanups.push(follower.close);
+  await vi.waitFor(() => expect(follower.isConfirmed).toBe(true), waitOptions);
+  ['odd', ...Array.from({ length: 20 }, (_, i) => `k${i}`)].forEach((key) => store.put('t', key, 1));
+  await vi.waitFor(() => expect(seen).toContain('k19=1'), waitOptions);
+  expect(seen).toContain('odd=1');
+});
+
+test('a row that can never be applied does not keep later ones from being applied', async () => {
+  const seen: string[] = [];
+  const apply = (rows: readonly StoredRow[]) => rows.forEach(({ key, value }) => {
+    if (key === 'odd') throw new TypeError('odd row');
+    seen.push(`${key}=${value}`);
+  });
+  const follower = followTable({ table: 't', onRows: apply, onChanges: apply }, {
+    clock, random, log, store: createClient(),
+  });
+  cleanups.push(follower.close);
+  store.put('t', 'odd', 1);
+  await vi.waitFor(() => expect(follower.isConfirmed).toBe(true), waitOptions);
+  store.put('t', 'z', 1);
+  await vi.waitFor(() => expect(seen).toEqual(['z=1']), waitOptions);
+});
+
 test('reads the whole table again when the history is lost', async () => {
   store.put('t', 'a', 1);
   const { seen, outagesMs } = startFollower();
