Give an answer of the store time as long as it arrives

A large configuration takes long on a slow link: 1,640 routes are 0.5 MB in an answer, 0.3 s at 14 Mbit/s, beside the streams of callers.

The test of a steady answer of 1.4 s fails before; that of an endless answer holds before and after.

--- a/packages/gateway/src/relay/relayed-store.ts
+++ b/packages/gateway/src/relay/relayed-store.ts
@@ -48,6 +48,8 @@
 const maxWaitMs = 1500;
 /** Time in milliseconds within which a relay answers, beyond the wait that a call asks for. */
 const relaySlackMs = 300;
+/** A large answer takes long on a slow link. */
+const transfer = { pauseMs: relaySlackMs, totalMs: 1500 };
 /** Time in milliseconds within which the store answers, beyond the wait that a call asks for. */
 const storeSlackMs = 800;
 /** Time in milliseconds for which a relay that did not answer is avoided. */
@@ -146,7 +148,7 @@
       path: `${relayPath}/${encodeURIComponent(table)}?${query}`,
       headers: ['Host', address],
       body: undefined,
-    }, waitMs + relaySlackMs);
+    }, waitMs + relaySlackMs, { dedicatedConnection: false, transfer });
     return status === statusOk ? decodeChanges(body.toString()) : undefined;
   }
 
--- a/packages/wire/src/exchange.ts
+++ b/packages/wire/src/exchange.ts
@@ -210,14 +210,23 @@
   isFramed: boolean;
 }
 
+/** Time limits of a body that has begun to arrive, in milliseconds. */
+export interface TransferLimits {
+  /** Longest pause. */
+  pauseMs: number;
+  totalMs: number;
+}
+
 export interface ExchangeOnceOptions extends ExchangeOptions {
+  /** Without limits of its own for the body, the timeout covers the whole response. */
+  transfer?: TransferLimits;
   /** Aborts the exchange, which then rejects. */
   signal?: AbortSignal;
 }
 
 /**
- * Runs an exchange; rejects with TargetError if the response is not complete in `timeoutMs` or
- * larger than `maxBodyBytes`.
+ * Runs an exchange; rejects with TargetError if the response is not complete in time or larger than
+ * `maxBodyBytes`.
  */
 export const exchangeOnce = (
   exchanger: Exchanger,
@@ -230,6 +239,7 @@
   let size = 0;
   let head: Omit<ExchangeResponse, 'body'> | undefined;
   let timer: NodeJS.Timeout;
+  let transferEndsAt = Infinity;
   /* eslint-disable @typescript-eslint/no-use-before-define -- each refers to the other */
   function settle() {
     clearTimeout(timer);
@@ -241,6 +251,18 @@
     reject(new TargetError(reason));
   }
   const onAbort = () => abort(`${req.method} ${address}${req.path} was aborted`);
+  function startTimer(ms: number) {
+    clearTimeout(timer);
+    timer = setTimeout(
+      () => abort(`${req.method} ${address}${req.path} got no complete response in ${Math.round(ms)} ms`),
+      ms,
+    );
+  }
+  function extendTime({ pauseMs, totalMs }: TransferLimits) {
+    const now = performance.now();
+    transferEndsAt = Math.min(transferEndsAt, now + totalMs);
+    startTimer(Math.min(pauseMs, transferEndsAt - now));
+  }
   const exchange = exchanger.start(address, req, {
     head(status, headers, isFramed) {
       head = { status, headers, isFramed };
@@ -249,6 +271,7 @@
       size += chunk.length;
       chunks.push(chunk);
       if (size > maxBodyBytes) abort(`${address} sent a body of over ${maxBodyBytes} bytes`);
+      else if (options.transfer) extendTime(options.transfer);
     },
     end() {
       settle();
@@ -260,10 +283,7 @@
     },
   }, options);
   /* eslint-enable @typescript-eslint/no-use-before-define */
-  timer = setTimeout(
-    () => abort(`${req.method} ${address}${req.path} got no complete response in ${timeoutMs} ms`),
-    timeoutMs,
-  );
+  startTimer(timeoutMs);
   if (options.signal?.aborted) onAbort();
   else options.signal?.addEventListener('abort', onAbort);
 });
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -1,4 +1,6 @@
 /** The row store's client, the table follower and the lease keeper, also with store faults. */
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import {
   afterEach, beforeEach, expect, test, vi,
 } from 'vitest';
@@ -135,6 +137,37 @@
   await expectLast(seen, 'changes a=gone');
 });
 
+/** Resolves to IP:PORT. */
+async function listen(server: Server): Promise<string> {
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  cleanups.push(() => server.close());
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+test('an answer that arrives slowly but steadily is not taken for silence', async () => {
+  const body = JSON.stringify({ rows: [], schemaVersion: 7, nowMs: 1 }).padEnd(1000);
+  const server = createServer((_, res) => {
+    res.writeHead(200, { 'content-length': body.length });
+    Array.from({ length: 10 }, (__, i) => setTimeout(
+      () => res.write(body.slice(i * 100, (i + 1) * 100)),
+      i * 150,
+    ));
+  });
+  const client = createPlatformPorts(await listen(server)).store;
+  expect(await client.changes('t', 0, 0)).toMatchObject({ version: 7 });
+});
+
+test('an answer that never ends is given up', async () => {
+  const server = createServer((_, res) => {
+    const timer = setInterval(() => res.write(' '), 50);
+    res.once('close', () => clearInterval(timer));
+  });
+  const address = await listen(server);
+  await expect(createPlatformPorts(address).store.read('t')).rejects.toThrow(PlatformError);
+});
+
 test('rows after one that can not be applied are not lost', async () => {
   const seen: string[] = [];
   let isBroken = true;
