Decode only the newest of several configurations that arrive together

The follower of the configuration applies the newest change of each row of an answer, and relays keep no others for that table. Rows of targets are all applied as before: one in between may say that a target is draining. The test of the log fails to compile before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -134,6 +134,7 @@
     log,
     store: ports.store,
     changeBoundMs: () => options.changeBoundMs,
+    newestOnlyTables: [rows.configTable],
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- each refers to the other
     takeToken: (...args) => tracking.rateLimiter.takeForOther(...args),
     loadReceiver: () => loadSharing,
@@ -195,6 +196,7 @@
   const followers = [
     followTable({
       table: rows.configTable,
+      isNewestOnly: true,
       onStoreRecovered: lease.storeReturned,
       onStoreRestored: lease.storeReturned,
       onRows: offerConfig,
--- a/packages/gateway/src/relay/relayed-store.ts
+++ b/packages/gateway/src/relay/relayed-store.ts
@@ -29,6 +29,8 @@
    * used if this leaves time for its answers.
    */
   maxAgeMs(): number;
+  /** Tables of which relays pass on the newest change of each row only. */
+  newestOnlyTables: readonly string[];
   entries(): readonly EntryRecord[];
 }
 
@@ -94,7 +96,10 @@
   function logFor(table: string): TableLog {
     const known = logs.get(table);
     if (known) return known;
-    const created = createTableLog(clock, maxWaitMs + storeSlackMs);
+    const created = createTableLog(clock, {
+      maxAgeMs: maxWaitMs + storeSlackMs,
+      isNewestOnly: deps.newestOnlyTables.includes(table),
+    });
     logs.set(table, created);
     return created;
   }
--- a/packages/gateway/src/relay/table-log.ts
+++ b/packages/gateway/src/relay/table-log.ts
@@ -5,6 +5,7 @@
  */
 import type { CancelTimer, Clock } from '@verbenashunt/core';
 import type { StoredRow, TableState } from '../ports.js';
+import { newestRows } from '../store/newest-rows.js';
 
 export interface TableLog {
   /**
@@ -38,8 +39,17 @@
   check(): void;
 }
 
-/** `maxAgeMs` is the time after the store's last answer for which the log is up to date. */
-export function createTableLog(clock: Clock, maxAgeMs: number): TableLog {
+export interface TableLogOptions {
+  /** Time in milliseconds after the store's last answer for which the log is up to date. */
+  maxAgeMs: number;
+  /** Whether only the newest change of each row is kept. */
+  isNewestOnly?: boolean;
+}
+
+export function createTableLog(
+  clock: Clock,
+  { maxAgeMs, isNewestOnly = false }: TableLogOptions,
+): TableLog {
   const waiters = new Set<Waiter>();
   let batches: Batch[] = [];
   /** The log has all changes after this version; undefined before the first read. */
@@ -58,10 +68,18 @@
     newest = { version, era, now };
   }
 
+  function keepNewest() {
+    const newestSet = new Set(newestRows(batches.flatMap(({ rows }) => rows)));
+    batches = batches.map(({ version, rows }) => ({
+      version, rows: rows.filter((row) => newestSet.has(row)),
+    }));
+  }
+
   function append(state: TableState) {
     batches.push({ version: state.version, rows: state.rows });
     const dropped = batches.length > maxBatches ? batches.shift() : undefined;
     start = dropped?.version ?? start;
+    if (isNewestOnly) keepNewest();
   }
 
   function recordAnswer() {
--- a/packages/gateway/src/store/follow.ts
+++ b/packages/gateway/src/store/follow.ts
@@ -6,6 +6,7 @@
 import { errorFields, HistoryLostError, type Clock } from '@verbenashunt/core';
 import type { RowStore, StoredRow, TableState } from '../ports.js';
 import type { TurnMeter } from '../turns/turn-meter.js';
+import { newestRows } from './newest-rows.js';
 
 /** Default long-poll timeout in milliseconds; bounds how long a silent connection is unnoticed. */
 const defaultWaitMs = 1500;
@@ -39,6 +40,8 @@
   table: string;
   /** Long-poll timeout in milliseconds. */
   waitMs?: number;
+  /** Whether earlier changes of a row that came with its newest one are left out. */
+  isNewestOnly?: boolean;
   /** Called when the store answers again after failures, `awayMs` after its last answer. */
   onStoreRecovered?(awayMs: number): void;
   /** Called before `onRows` when the store was restored from an older copy. */
@@ -158,7 +161,8 @@
     if (state.rows.length === 0) return;
     const isImmediate = clock.now() - askedAt < immediateMs;
     batchMs = isImmediate ? Math.min(maxBatchMs, 2 * batchMs) : minBatchMs;
-    await applyChanges(state.rows, originOf(state, askedAt));
+    const rows = followed.isNewestOnly ? newestRows(state.rows) : state.rows;
+    await applyChanges(rows, originOf(state, askedAt));
     await wait(batchMs);
   }
 
--- a/packages/gateway/src/store/store-access.ts
+++ b/packages/gateway/src/store/store-access.ts
@@ -30,6 +30,8 @@
   store: RowStore;
   /** Shortest time in milliseconds within which a change in the store must take hold. */
   changeBoundMs(): number;
+  /** Tables of which relays pass on the newest change of each row only. */
+  newestOnlyTables: readonly string[];
   /** Takes a token for another entry of a bucket that this one keeps. */
   takeToken: RateLimiter['takeForOther'];
   /** Returns what takes the loads of other entries; undefined while there is nothing. */
--- a/test/gateway/relay.test.ts
+++ b/test/gateway/relay.test.ts
@@ -37,7 +37,7 @@
 
 test('a log returns the changes after a version, and waits for the next ones', async () => {
   const clock = new ManualClock();
-  const tableLog = createTableLog(clock, 2000);
+  const tableLog = createTableLog(clock, { maxAgeMs: 2000 });
   tableLog.recordRead(stateOf(10, ['a']));
   tableLog.recordChanges(10, stateOf(12, ['b']));
   expect(keysOf(await tableLog.changes(10, 0, 0))).toEqual(['b']);
@@ -49,7 +49,7 @@
 });
 
 test('a log can not tell about changes before its start or of another era', async () => {
-  const tableLog = createTableLog(new ManualClock(), 2000);
+  const tableLog = createTableLog(new ManualClock(), { maxAgeMs: 2000 });
   expect(await tableLog.changes(0, 0, 0)).toBeUndefined();
   tableLog.recordRead(stateOf(10));
   tableLog.recordChanges(10, stateOf(10));
@@ -59,7 +59,7 @@
 });
 
 test('a log can not tell after a read alone, which may come from a replica that lags behind', async () => {
-  const tableLog = createTableLog(new ManualClock(), 2000);
+  const tableLog = createTableLog(new ManualClock(), { maxAgeMs: 2000 });
   tableLog.recordRead(stateOf(10));
   expect(await tableLog.changes(10, 0, 0)).toBeUndefined();
   tableLog.recordChanges(10, stateOf(11, ['a']));
@@ -71,15 +71,26 @@
   expect(await tableLog.changes(30, 0, 0)).toBeUndefined();
 });
 
+test('a log of a table of which the newest rows matter keeps no others', async () => {
+  const tableLog = createTableLog(new ManualClock(), { maxAgeMs: 2000, isNewestOnly: true });
+  tableLog.recordRead(stateOf(10));
+  tableLog.recordChanges(10, stateOf(11, ['config', 'a']));
+  tableLog.recordChanges(11, stateOf(12, ['config']));
+  tableLog.recordChanges(12, stateOf(13, ['config', 'config']));
+  const state = await tableLog.changes(10, 0, 0);
+  expect(state?.rows.map(({ key, version }) => [key, version])).toEqual([['a', 11], ['config', 13]]);
+  expect(await tableLog.changes(11, 0, 0)).toMatchObject({ version: 13, rows: [{ version: 13 }] });
+});
+
 test('a log passes on when the store last answered, also without changes', async () => {
-  const tableLog = createTableLog(new ManualClock(), 2000);
+  const tableLog = createTableLog(new ManualClock(), { maxAgeMs: 2000 });
   tableLog.recordRead(stateOf(10));
   tableLog.recordChanges(10, { ...stateOf(10), now: 700 });
   expect(await tableLog.changes(10, 0, 0)).toMatchObject({ now: 700 });
 });
 
 test('a log starts anew after a gap, a later read and a new era', async () => {
-  const tableLog = createTableLog(new ManualClock(), 2000);
+  const tableLog = createTableLog(new ManualClock(), { maxAgeMs: 2000 });
   tableLog.recordRead(stateOf(10));
   tableLog.recordChanges(20, stateOf(21, ['b']));
   expect(await tableLog.changes(10, 0, 0)).toBeUndefined();
@@ -94,7 +105,7 @@
 
 test('a log is out of date when the store does not answer, and its followers learn it', async () => {
   const clock = new ManualClock();
-  const tableLog = createTableLog(clock, 2000);
+  const tableLog = createTableLog(clock, { maxAgeMs: 2000 });
   tableLog.recordRead(stateOf(10));
   tableLog.recordChanges(10, stateOf(10));
   const waiting = tableLog.changes(10, 0, 5000);
@@ -186,6 +197,7 @@
       node,
       zone: 'zone-a',
       maxAgeMs: () => maxAgeMs,
+      newestOnlyTables: [],
       entries: () => entries,
     });
     const relay = await serveRelay({ host: '127.0.0.1', port: 0 }, {
--- a/test/support/proxied-zone.ts
+++ b/test/support/proxied-zone.ts
@@ -72,6 +72,7 @@
       node,
       zone: 'zone-a',
       maxAgeMs: () => maxAgeMs,
+      newestOnlyTables: [table],
       entries: () => entries,
     });
     const server = await serveRelay({ host, port: 0 }, {
