--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -61,7 +61,9 @@
   const incarnation = clock.wall();
   const events = new Emittery<EntryEvents>();
   const metrics = createEntryMetrics();
-  const platform = createPlatformClient(cfg.platformUrl);
+  const platform = createPlatformClient(cfg.platformUrl, {
+    onInvalidVms: (count) => log.warn({ count }, 'entries of the VM list are ignored as invalid'),
+  });
   const fences = createFences(clock);
   const requestTimeoutMs = cfg.requestTimeoutMs ?? 60_000;
   let stopping = false;
--- a/packages/stand-ins/src/platform/platform.ts
+++ b/packages/stand-ins/src/platform/platform.ts
@@ -180,7 +180,7 @@
       sendJson(res, 400, { error: 'bad_list' });
       return;
     }
-    currentVms = list.vms;
+    currentVms = list.vms as Vm[];
     setTimeout(() => {
       listedVms = currentVms;
     }, faults.vmLagMs);
--- a/packages/wire/src/platform.ts
+++ b/packages/wire/src/platform.ts
@@ -32,8 +32,21 @@
 
 const isSuccess = (status: number) => status >= 200 && status < 300;
 
-/** Creates a client; every call settles within `timeoutMs`. */
-export function createPlatformClient(url: string, timeoutMs = defaultTimeoutMs): PlatformClient {
+export interface PlatformClientOptions {
+  /** Every call settles within this time in milliseconds. */
+  timeoutMs?: number;
+  /** Called when the number of entries of the VM list that are ignored as invalid has changed. */
+  onInvalidVms?(count: number): void;
+}
+
+/** One odd entry of another writer must not hide the other VMs. */
+const isValidVm = (vm: unknown): vm is Vm => validators.vm(vm);
+
+export function createPlatformClient(
+  url: string,
+  { timeoutMs = defaultTimeoutMs, onInvalidVms }: PlatformClientOptions = {},
+): PlatformClient {
+  let invalidVms = 0;
   const pool = new Pool(url, {
     connections: maxConnections,
     headersTimeout: timeoutMs,
@@ -104,7 +117,12 @@
     },
     async listVms() {
       const response = await read('/vms');
-      return parseResponse(response?.text ?? '', validators.vmList).vms;
+      const { vms } = parseResponse(response?.text ?? '', validators.vmList);
+      const valid = vms.filter(isValidVm);
+      const count = vms.length - valid.length;
+      if (count !== invalidVms) onInvalidVms?.(count);
+      invalidVms = count;
+      return valid;
     },
     close: () => pool.close(),
   };
--- a/test/frame/platform.test.ts
+++ b/test/frame/platform.test.ts
@@ -123,3 +123,30 @@
   await link.close();
   echo.close();
 });
+
+test.each([
+  ['a port out of range', '"port":99999'],
+  ['a number that is too large', '"port":1e400'],
+  ['a deeply nested field', `"zone":${'['.repeat(50_000)}${']'.repeat(50_000)}`],
+  ['an unknown field', '"more":1'],
+])('an entry of the VM list with %s is ignored, and the others are listed', async (_, odd) => {
+  const vm = {
+    id: 'a', role: 'agent', zone: 'z', region: 'r', host, port: 1, state: 'live',
+  };
+  const oddVm = `${JSON.stringify({ ...vm, id: 'odd' }).slice(0, -1)},${odd}}`;
+  const server = createHttpServer((_req, res) => {
+    res.end(`{"vms":[${oddVm},${JSON.stringify(vm)},null]}`);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, host, resolve);
+  });
+  const counts: number[] = [];
+  const oddPlatform = createPlatformClient(`http://${host}:${(server.address() as AddressInfo).port}`, {
+    onInvalidVms: (count) => counts.push(count),
+  });
+  expect(await oddPlatform.listVms()).toEqual([vm]);
+  await oddPlatform.listVms();
+  expect(counts).toEqual([2]);
+  await oddPlatform.close();
+  server.close();
+});
