Give each call to a service and each order to an engine a connection of its own

In the product's own mode a server that writes an earlier answer once more, late, on a kept connection had it taken for the next one: a repeatable call got the answer of another call, and an order got a copy of an earlier refusal and was taken as fenced while the engine carried it out. Services and engines name no request in their answers, so only a fresh connection tells them apart; calls that may run once had one already.

In the gateway it can't happen: a connection on which a refusal came is closed, which a new test checks with a refusal with and without an id; calls that may not be repeated, retries and orders have connections of their own, and ids are compared (test/gateway/connections).

--- a/packages/agent/src/orders/engine-order-client.ts
+++ b/packages/agent/src/orders/engine-order-client.ts
@@ -23,14 +23,19 @@
 }
 
 export class HttpEngineOrderClient implements EngineOrderClient {
-  readonly #client: Client;
+  readonly #statusClient: Client;
+
+  /** Opens a connection for each order, on which no late answer to an earlier one can arrive. */
+  readonly #orderClient: Client;
 
   constructor(url: string) {
-    this.#client = new Client(url, {
+    const options = {
       headersTimeout: orderTimeoutMs,
       bodyTimeout: orderTimeoutMs,
       maxResponseSize: maxResponseBytes,
-    });
+    };
+    this.#statusClient = new Client(url, options);
+    this.#orderClient = new Client(url, options);
   }
 
   async status() {
@@ -41,8 +46,8 @@
 
   async order(order: EngineOrder) {
     try {
-      const res = await this.#client.request({
-        method: 'POST', path: '/orders', body: JSON.stringify(order), headers: { 'content-type': 'application/json' },
+      const res = await this.#orderClient.request({
+        method: 'POST', path: '/orders', body: JSON.stringify(order), headers: { 'content-type': 'application/json' }, reset: true,
       });
       await res.body.dump();
       if (res.statusCode < 300 || res.statusCode === 409) return res.statusCode !== 409;
@@ -54,7 +59,7 @@
 
   async #fetchStatus(): Promise<unknown> {
     try {
-      const { body } = await this.#client.request({ method: 'GET', path: '/status' });
+      const { body } = await this.#statusClient.request({ method: 'GET', path: '/status' });
       return await body.json();
     } catch (err) {
       throw new TargetError('the engine did not respond to a status request', { cause: err });
@@ -62,6 +67,6 @@
   }
 
   async close() {
-    await this.#client.destroy();
+    await Promise.all([this.#statusClient.destroy(), this.#orderClient.destroy()]);
   }
 }
--- a/packages/agent/src/targets/service-target.ts
+++ b/packages/agent/src/targets/service-target.ts
@@ -5,8 +5,8 @@
 import { connectionHeaders, createExchanger, exchangeOnce } from '@verbenashunt/wire';
 
 const connectTimeoutMs = 10_000;
-/** Idle time in milliseconds after which a connection is not reused. */
-const keepAliveMs = 4000;
+/** Idle time in milliseconds for which connections are kept; unused, as each serves one call. */
+const keepAliveMs = 1000;
 const maxResponseBytes = 4 * 1024 * 1024;
 
 /** Headers that are not forwarded: those of a single connection and the caller's credentials. */
@@ -35,14 +35,18 @@
 
   return {
     async call({
-      method, path, headers, body, timeLeftMs, repeatable,
+      method, path, headers, body, timeLeftMs,
     }, signal) {
       const response = await exchangeOnce(exchanger, host, {
         method,
         path,
         headers: Object.entries(forwardedHeaders(headers)).flat(),
         body: body === '' ? undefined : Buffer.from(body, 'base64'),
-      }, Math.max(1, Math.ceil(timeLeftMs)), { dedicatedConnection: !repeatable, signal });
+      }, Math.max(1, Math.ceil(timeLeftMs)), {
+        // A service's answer names no request, so a late copy of an earlier one looks the same.
+        dedicatedConnection: true,
+        signal,
+      });
       if (response.body.length > maxResponseBytes) {
         throw new TargetError(`${method} ${path} got over ${maxResponseBytes} bytes`);
       }
--- a/test/gateway/connections.test.ts
+++ b/test/gateway/connections.test.ts
@@ -91,6 +91,29 @@
   expect(raw.connections).toBeGreaterThan(0);
 });
 
+test.each([
+  ['without an id', () => ''],
+  ['with the id of the refused request', (id: string) => `request-id: ${id}\r\n`],
+])('no request is sent on a connection on which a refusal %s may come once more', async (_, idLine) => {
+  const { call, store, apps } = await start({ apps: 1 });
+  const refusals = new Map<Socket, string>();
+  const ran: string[] = [];
+  const raw = await startRawTarget((socket, request) => {
+    const id = idOf(request);
+    const copy = refusals.get(socket);
+    if (copy !== undefined) ran.push(id);
+    const refusal = `HTTP/1.1 503 Full\r\n${idLine(id)}not-executed: 1\r\ncontent-length: 0\r\n\r\n`;
+    refusals.set(socket, refusal);
+    socket.write(copy === undefined ? refusal : copy + framed(id, ownBody(id)));
+  });
+  store.put('servers', 'copies', { ...apps[0]!.row('app'), address: raw.address });
+  store.remove('servers', apps[0]!.id);
+  await wait(400);
+  for (let i = 0; i < 10; i += 1) await call();
+  expect(refusals.size).toBeGreaterThan(9);
+  expect(ran).toEqual([]);
+});
+
 test('a late second copy of a report is not taken as the answer to an order', async () => {
   const orders: string[] = [];
   const reported = new WeakSet<Socket>();
