Pass on nothing but events of the begun stream when another target goes on with it

A stream had begun and broke off, and the target that was to go on answered with status 200 and something else: a page of HTML, or an error as an event without an id. The same for the head of an error that a target writes into its stream.

An answer of another type than text/event-stream is no stream. A run that goes on with a begun stream starts with an event that has an id, or comments. Bytes that are no event end the run as broken. Each time another target is asked, or the answer is cut off.

--- a/packages/core/src/serving/events.ts
+++ b/packages/core/src/serving/events.ts
@@ -32,6 +32,20 @@
   return { bytes, id: id === undefined ? undefined : Number(id) };
 }
 
+/** Lines of an event stream: fields by name, comments, and the blank line at the end. */
+const eventLine = /^(?:(?:id|data|event|retry)(?::.*)?|:.*)?\r?$/;
+const commentLine = /^(?::.*)?\r?$/;
+
+const linesOf = ({ bytes }: StreamEvent) => bytes.toString('latin1').split('\n');
+
+/** Whether the bytes are an event or a comment, unlike the head or the text of an error. */
+export const isEventText = (event: StreamEvent) => linesOf(event)
+  .every((line) => eventLine.test(line));
+
+/** Whether the event holds nothing but comments, which targets may send at any time. */
+export const isComment = (event: StreamEvent) => linesOf(event)
+  .every((line) => commentLine.test(line));
+
 export interface EventSplitter {
   /** Adds received bytes; returns the events that they complete. */
   push(chunk: Buffer): StreamEvent[];
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -1,6 +1,7 @@
 /** Sends one attempt of a request to a target and classifies the outcome. */
+import type { IncomingHttpHeaders } from 'node:http';
 import {
-  createEventSplitter, isHeldBack, type AttemptEnd, type StreamEvent,
+  createEventSplitter, isComment, isEventText, isHeldBack, type AttemptEnd, type StreamEvent,
 } from '@verbenashunt/core';
 import type { Exchange, Exchanger } from '@verbenashunt/wire';
 import type { AttemptRequest, TargetProtocol } from '../ports.js';
@@ -69,6 +70,12 @@
 /** Size limit of an event of a stream, which holds a few tokens. */
 const maxEventBytes = 256 * 1024;
 
+const streamType = 'text/event-stream';
+
+/** An answer that does not state its type is taken for the stream that was asked for. */
+const mayBeStream = (headers: IncomingHttpHeaders) => (headers['content-type'] ?? streamType)
+  .toLowerCase().startsWith(streamType);
+
 export function startAttempt(
   req: AttemptRequest,
   options: AttemptOptions,
@@ -81,8 +88,11 @@
   let start: AnswerStart | undefined;
   let isOver = false;
   let exchange: Exchange | undefined;
+  /** Whether an event with an id has come, which shows that a run goes on with the stream. */
+  let isNumbered = false;
 
-  const isEventStream = () => options.isStream && start?.status === statusOk;
+  const isEventStream = () => options.isStream && start?.status === statusOk
+    && mayBeStream(start.headers);
 
   function fail(attemptEnd: AttemptEnd, reason: string, details: Partial<AttemptFailure> = {}) {
     if (isOver) return;
@@ -111,6 +121,15 @@
     }
   }
 
+  /** Passes on an event, unless it is none or does not belong to the stream that was begun. */
+  function passOn(event: StreamEvent) {
+    isNumbered ||= event.id !== undefined;
+    const isForeign = options.isContinuation && !isNumbered && !isComment(event);
+    if (isForeign) fail('broken', 'an event without an id instead of the rest of a stream');
+    else if (event.id === undefined && !isEventText(event)) fail('broken', 'the stream holds bytes that are no event');
+    else handler.event(event, start!);
+  }
+
   function endEventStream() {
     if (splitter.pendingBytes > 0) {
       fail('broken', 'the stream ended inside an event', { isConnectionLost: true });
@@ -134,7 +153,7 @@
       if (isOver) return;
       if (isEventStream()) {
         splitter.push(chunk).forEach((event) => {
-          if (!isOver) handler.event(event, start!);
+          if (!isOver) passOn(event);
         });
         if (splitter.pendingBytes > maxEventBytes) fail('broken', `an event is larger than ${maxEventBytes} bytes`);
         return;
--- a/test/gateway/streams.test.ts
+++ b/test/gateway/streams.test.ts
@@ -16,6 +16,11 @@
 const allEvents = Array.from({ length: eventCount }, (_, i) => eventText(i + 1)).join('');
 const twoChains: [number, number][] = [[0, 4], [0, 4], [4, 8]];
 
+/** Routes with one attempt more: to resume a broken stream, and to find that it is whole. */
+const threeAttempts = {
+  routes: operatorConfig(1).routes.map((route) => ({ ...route, maxAttempts: 3 })),
+};
+
 test('a stream runs over a chain that covers all layers', async () => {
   const { stream, pool } = await start({ pool: [[0, 3], [3, 8]], engine: { events: eventCount } });
   const answer = await stream();
@@ -57,6 +62,16 @@
   expect(setup.pool.flatMap(({ ran }) => ran)).toHaveLength(2);
 });
 
+test.each(['half-page', 'half-error-event', 'head-inside', 'half-again', 'fail'] as const)('no text of an error stands in a begun stream: %s', async (behaviour) => {
+  const setup = await start({
+    pool: twoChains, engine: { events: eventCount }, config: threeAttempts,
+  });
+  setup.pool.forEach((engine) => Object.assign(engine, { behaviour }));
+  const answer = await setup.stream();
+  expect(allEvents.startsWith(answer.body)).toBe(true);
+  expect(answer.isComplete).toBe(answer.body === allEvents);
+});
+
 test('the answer is cut off when a stream breaks a second time, as attempts are limited', async () => {
   const setup = await start({ pool: twoChains, engine: { events: eventCount } });
   setup.pool.forEach((engine) => Object.assign(engine, { behaviour: 'half-again' }));
@@ -97,11 +112,6 @@
   expect(lastIds.sort()).toEqual([String(eventCount), undefined]);
 });
 
-/** Routes with one attempt more: to resume a broken stream, and to find that it is whole. */
-const threeAttempts = {
-  routes: operatorConfig(1).routes.map((route) => ({ ...route, maxAttempts: 3 })),
-};
-
 test.each(['unframed-half', 'unframed-crash'] as const)('a stream without a length or chunks is resumed if it breaks off: %s', async (behaviour) => {
   const setup = await start({
     pool: [[0, 8], [0, 8]], engine: { events: eventCount }, config: threeAttempts,
--- a/test/serving/events.test.ts
+++ b/test/serving/events.test.ts
@@ -3,7 +3,9 @@
  */
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
-import { createEventOrder, createEventSplitter } from '@verbenashunt/core';
+import {
+  createEventOrder, createEventSplitter, isComment, isEventText,
+} from '@verbenashunt/core';
 
 const text = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: comment\n\nid: 3\ndata: \u00e9\n\n';
 const bytes = Buffer.from(text);
@@ -30,6 +32,19 @@
   expect(splitter.pendingBytes).toBe(14);
 });
 
+test.each([
+  ['data: a\nevent: b\nretry: 5\n\n', true, false],
+  [': ping\r\n\r\n', true, true],
+  ['\n\n', true, true],
+  ['data\n\n', true, false],
+  ['HTTP/1.1 502 Bad Gateway\r\nrequest-id: 5\r\n\r\n', false, false],
+  ['{"error":"unknown"}\n\n', false, false],
+])('tells events, comments and other text apart: %j', (part, isEvent, isOnlyComment) => {
+  const event = { bytes: Buffer.from(part), id: undefined };
+  expect(isEventText(event)).toBe(isEvent);
+  expect(isComment(event)).toBe(isOnlyComment);
+});
+
 test('detects repeated events and gaps', () => {
   const order = createEventOrder(undefined);
   const verdicts = [4, 5, 5, 4, 6, 8, 7].map((id) => order.accept({ bytes, id }));
