Take answers of an earlier era for nothing in the relayed store

An answer that the store had sent before it was restored, and that arrived after the first one of the new era, brought the old era back: relays of that era were asked again, and its clock, which may be another, counted for the age of what is known.

Eras only rise, with a read as well, and a state of an earlier one has no age.

--- a/packages/gateway/src/relay/relayed-store.ts
+++ b/packages/gateway/src/relay/relayed-store.ts
@@ -104,11 +104,19 @@
     return created;
   }
 
+  /** Starts a new era, whose clock may be another; an answer of an earlier one may come later. */
+  function recordEra(next: number) {
+    if (next <= era) return;
+    era = next;
+    storeClock.reset();
+    newestAsOf.clear();
+  }
+
   async function record(tableLog: TableLog, call: Promise<TableState>): Promise<TableState> {
     const startedAt = clock.now();
     try {
       const state = await call;
-      era = state.era;
+      recordEra(state.era);
       storeRetryAt = -Infinity;
       return state;
     } catch (err) {
@@ -119,14 +127,12 @@
     }
   }
 
-  /** A restored store may have another clock. */
-  function startEra() {
-    storeClock.reset();
-    newestAsOf.clear();
-  }
-
-  /** Returns the state with the time as of which it is the newest one, at least `knownAsOf`. */
-  function withAsOf(table: string, state: TableState, knownAsOf = -Infinity) {
+  /**
+   * Returns the state with the time as of which it is the newest one, at least `knownAsOf`; without
+   * it for a state of an earlier era.
+   */
+  function withAsOf(table: string, state: TableState, knownAsOf = -Infinity): TableState {
+    if (state.era !== era) return state;
     storeClock.record(state.now);
     const asOf = Math.max(knownAsOf, storeClock.toLocal(state.now));
     newestAsOf.set(table, Math.max(newestAsOf.get(table) ?? -Infinity, asOf));
@@ -135,10 +141,8 @@
 
   async function changesFromStore(table: string, after: number, waitMs: number) {
     const askedAt = clock.now();
-    const eraBefore = era;
     const tableLog = logFor(table);
     const state = await record(tableLog, store.changes(table, after, waitMs));
-    if (era !== eraBefore) startEra();
     tableLog.recordChanges(after, state);
     return withAsOf(table, state, askedAt);
   }
@@ -169,7 +173,7 @@
         return undefined;
       }
       const current = withAsOf(table, state);
-      relayedAsOf = Math.max(relayedAsOf, current.asOf);
+      relayedAsOf = Math.max(relayedAsOf, current.asOf ?? -Infinity);
       return { ...current, via: relay.node };
     } catch (err) {
       avoidedUntil.set(relay.node, clock.now() + avoidMs);
@@ -193,13 +197,16 @@
   function relayTimeMs(table: string) {
     const storeDueMs = deps.maxAgeMs() - ageMs(table);
     const storeRetryInMs = storeRetryAt - clock.now();
-    return Math.min(maxWaitMs, Math.max(storeDueMs, storeRetryInMs) - relaySlackMs);
+    return Math.floor(Math.min(maxWaitMs, Math.max(storeDueMs, storeRetryInMs) - relaySlackMs));
   }
 
+  /** Time in milliseconds that a call to the store may wait, in whole ones as the store takes. */
+  const storeTimeMs = (table: string) => Math.max(0, Math.floor(deps.maxAgeMs() - ageMs(table)));
+
   return {
     async read(table) {
       const state = await store.read(table);
-      era = state.era;
+      recordEra(state.era);
       logs.get(table)?.recordRead(state);
       return state;
     },
@@ -210,8 +217,7 @@
       const relayed = relayMs < 0 ? undefined : await tryRelay(relay, table, after, relayMs);
       if (relayed) return relayed;
       if (clock.now() < storeRetryAt) throw new PlatformError(`neither the store nor ${relay.node} could tell`);
-      const timeLeftMs = Math.max(0, deps.maxAgeMs() - ageMs(table));
-      return changesFromStore(table, after, Math.min(waitMs, timeLeftMs));
+      return changesFromStore(table, after, Math.min(waitMs, storeTimeMs(table)));
     },
     write: store.write,
     close: store.close,
--- a/test/gateway/relay.test.ts
+++ b/test/gateway/relay.test.ts
@@ -286,6 +286,31 @@
   expect(performance.now() - returnedAt).toBeLessThan(2500);
 });
 
+test('an answer from before a restoration brings neither its era nor its age back', async () => {
+  const states: TableState[] = [
+    { ...stateOf(10, [], 1), now: 100 },
+    { ...stateOf(9, [], 2), now: 5 },
+    { ...stateOf(11, [], 1), now: 200 },
+  ];
+  const clock = new ManualClock();
+  const relayed = createRelayedStore({
+    clock,
+    log,
+    store: { ...createPlatformPorts(store.address).store, changes: async () => states.shift()! },
+    exchanger: createExchanger({ connectTimeoutMs: 300, keepAliveMs: 4000 }),
+    node: 'a',
+    zone: 'zone-a',
+    maxAgeMs: () => maxAgeMs,
+    newestOnlyTables: [],
+    entries: () => [],
+  });
+  await relayed.changes('t', 0, 0);
+  await relayed.changes('t', 0, 0);
+  clock.advance(1000);
+  expect((await relayed.changes('t', 0, 0)).asOf).toBeUndefined();
+  expect(relayed.ageMs('t')).toBe(1000);
+});
+
 test('a restoration of the store reaches the entries behind a relay', async () => {
   store.era = 1;
   store.put('t', 'a', 'old');
