--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,7 +4,7 @@
 import Emittery from 'emittery';
 import type { Logger } from 'pino';
 import {
-  createRefusal, createServingConfigHolder, errorFields, SystemClock,
+  createRefusal, createServingConfigHolder, SystemClock,
   type Clock, type RetryLimits,
 } from '@verbenashunt/core';
 import { createBodyReader, drain } from '@verbenashunt/wire';
@@ -17,7 +17,7 @@
 import { createGatewayMetrics, type GatewayMetrics } from './metrics.js';
 import { createMetricsPage } from './metrics-page.js';
 import { createPlacementController } from './placement/controller.js';
-import type { PlatformPorts, StoredRow } from './ports.js';
+import type { PlatformPorts } from './ports.js';
 import { createTargetProgress } from './requests/progress.js';
 import { createRequestLog } from './requests/request-log.js';
 import { startRun } from './requests/run.js';
@@ -27,7 +27,9 @@
 import {
   acceptMsAtStop, isTooLate, stopMarginMs, stoppingRetryMs,
 } from './requests/stop-window.js';
-import { followTable, type RowsOrigin } from './store/follow.js';
+import { createConfigRows } from './store/config-rows.js';
+import { followTable } from './store/follow.js';
+import { createRowDecoder } from './store/row-decoder.js';
 import { createStoreAccess, type StoreAccessOptions } from './store/store-access.js';
 import { createTargetTracking, type TargetTrackingOptions } from './targets/target-tracking.js';
 import { measureTurns } from './turns/long-turns.js';
@@ -140,32 +142,7 @@
     loadReceiver: () => loadSharing,
   });
 
-  /** Decodes a row of a table; logs and counts a row that is invalid and returns undefined. */
-  const createRowDecoder = <T>(
-    table: string,
-    decode: (row: StoredRow) => T | undefined,
-  ) => (row: StoredRow): T | undefined => {
-    try {
-      return decode(row);
-    } catch (err) {
-      metrics.rowNotUnderstood(table);
-      log.warn({
-        table, key: row.key, rowVersion: row.version, ...errorFields(err),
-      }, 'row not understood');
-      return undefined;
-    }
-  };
-
-  /** Log fields of how rows came and how old they are; times in milliseconds. */
-  const originFields = ({
-    via, asOf, askedAt, receivedAt,
-  }: RowsOrigin) => ({
-    via: via ?? 'store',
-    askedMs: Math.round(receivedAt - askedAt),
-    ageMs: asOf === undefined ? undefined : Math.round(clock.now() - asOf),
-    appliedMs: Math.round(clock.now() - receivedAt),
-  });
-
+  const rowDecoderDeps = { log, rowNotUnderstood: metrics.rowNotUnderstood };
   const tracking = createTargetTracking(cfg, {
     clock,
     random,
@@ -177,30 +154,27 @@
     config,
     protocol: ports.targets,
     meter,
-    decodeTarget: createRowDecoder(rows.targetTable, rows.decodeTarget),
+    decodeTarget: createRowDecoder(rows.targetTable, rows.decodeTarget, rowDecoderDeps),
     otherLoads: () => loadSharing?.member,
     crashSeen: metrics.crashSeen,
   });
   const { selector, loadMonitor } = tracking;
 
-  const decodeConfig = createRowDecoder(rows.configTable, rows.decodeConfig);
-  function offerConfig(changed: readonly StoredRow[], origin: RowsOrigin) {
-    changed.flatMap((row) => decodeConfig(row) ?? []).forEach((next) => {
-      const isAdopted = config.offer(next);
-      if (isAdopted) log.info({ version: next.version, ...originFields(origin) }, 'configuration in force');
-    });
-  }
+  const configRows = createConfigRows({
+    clock,
+    log,
+    config,
+    decode: createRowDecoder(rows.configTable, rows.decodeConfig, rowDecoderDeps),
+  });
   const followDeps = {
     clock, random, log, store, meter,
   };
   const followers = [
     followTable({
       table: rows.configTable,
-      isNewestOnly: true,
       onStoreRecovered: lease.storeReturned,
       onStoreRestored: lease.storeReturned,
-      onRows: offerConfig,
-      onChanges: offerConfig,
+      ...configRows,
     }, followDeps),
     followTable({ table: rows.targetTable, ...tracking.targetList }, followDeps),
   ];
