Let the test of a silent store begin after the follower's first call for changes

The first call for changes does not wait, so it ends 0.7 s after a silence, not 2.2 s; the test set the silence while that call was under way in some runs.

--- a/test/platform/follow.test.ts
+++ b/test/platform/follow.test.ts
@@ -166,7 +166,8 @@
 
 test('follows again soon after a silent store responds again', async () => {
   const { seen, follower, outagesMs } = startFollower();
-  await expectLast(seen, 'rows ');
+  // The call after that does not wait for changes, and ends sooner without a response.
+  await vi.waitFor(() => expect(follower.isConfirmed).toBe(true), waitOptions);
   store.fault = 'silent';
   await vi.waitFor(() => expect(follower.isConnected).toBe(false), waitOptions);
   store.put('t', 'a', 1);
