Ask the store again at once when a first call got no response

A first call without response says no more than that its connection is silent; the next one has a new connection and tells whether the store is away. Only then, or when the store refuses a call, the pause begins. The test of the calls in an outage passes with its bound unchanged.

--- a/packages/gateway/src/relay/relayed-store.ts
+++ b/packages/gateway/src/relay/relayed-store.ts
@@ -6,7 +6,7 @@
  */
 import type { Logger } from 'pino';
 import {
-  errorFields, HistoryLostError, PlatformError, TargetError, type Clock,
+  errorFields, HistoryLostError, PlatformError, PlatformRateError, TargetError, type Clock,
 } from '@verbenashunt/core';
 import { exchangeOnce, type Exchanger } from '@verbenashunt/wire';
 import type { RowStore, TableState } from '../ports.js';
@@ -86,6 +86,8 @@
   let era = 0;
   /** Time as of which a relay has passed on the newest state of the store. */
   let relayedAsOf = -Infinity;
+  /** When the first call since the store's last answer got no response; undefined if none did. */
+  let silentAt: number | undefined;
   /** When the store may be called again after a failure, by an entry that has a relay. */
   let storeRetryAt = -Infinity;
 
@@ -112,17 +114,30 @@
     newestAsOf.clear();
   }
 
+  /**
+   * A first call without response may have met a connection that went silent. A refusal, and the
+   * silence of a later call, which has a new connection, tell that the store is away.
+   */
+  function recordFailure(startedAt: number, isRefusal: boolean) {
+    const isAway = isRefusal || (silentAt !== undefined && startedAt >= silentAt);
+    if (isAway) storeRetryAt = startedAt + storeRetryMs;
+    silentAt ??= clock.now();
+  }
+
   async function record(tableLog: TableLog, call: Promise<TableState>): Promise<TableState> {
     const startedAt = clock.now();
     try {
       const state = await call;
       recordEra(state.era);
+      silentAt = undefined;
       storeRetryAt = -Infinity;
       return state;
     } catch (err) {
       tableLog.recordFailure();
       // With lost history the store did answer.
-      if (!(err instanceof HistoryLostError)) storeRetryAt = startedAt + storeRetryMs;
+      if (!(err instanceof HistoryLostError)) {
+        recordFailure(startedAt, err instanceof PlatformRateError);
+      }
       throw err;
     }
   }
--- a/test/gateway/change-delay-soak.test.ts
+++ b/test/gateway/change-delay-soak.test.ts
@@ -21,7 +21,7 @@
   { changeBoundMs: 2000, inTouchAfterMs: 3000, maxAgeMs: 1000 },
 ];
 /** Seeds that have found a fault. */
-const keptSeeds = [2, 19, 33, 36];
+const keptSeeds = [2, 17, 19, 33, 36];
 const seeds = process.env.SOAK_SEEDS
   ? Array.from({ length: Number(process.env.SOAK_SEEDS) }, (_, i) => i + 1)
   : [1, ...keptSeeds];
