Name the clock of the age metric without an escaped apostrophe

The page of metrics is written from the source text and showed a backslash. Read through the whole change once more; nothing else was changed.

--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -71,7 +71,7 @@
     name: 'verbenashunt_gateway_config_version', help: 'Version of the configuration in force.', registers,
   });
   const configAge = new Gauge({
-    name: 'verbenashunt_gateway_config_age_seconds', help: 'Time since the store was known to have no newer configuration, by the store\'s clock.', registers,
+    name: 'verbenashunt_gateway_config_age_seconds', help: 'Time since the store was known to have no newer configuration, by its own clock.', registers,
   });
   const rowsNotUnderstood = new Counter({
     name: 'verbenashunt_gateway_rows_not_understood_total', help: 'Rows of the store that were ignored as they are not valid, by table.', labelNames: ['table'], registers,
