Handle nothing on a connection after the listener refused it, and judge lateness after a read

Callers send again what was refused so, and the work is done twice.

Cause: Node checks headersTimeout and requestTimeout in a timer, which runs before the sockets are read; after a standstill it takes requests for late whose rest waits in the kernel. And the refusal ended the writing side alone: the parser stayed attached, so that the rest, whenever it came, made a whole request that was handled. The second needs no freeze. The entry of the own mode uses the same listener and did the same, with bodies as well.

Ruled out: readBody's limit and deadlines in queues refuse in the request's own handler, after which nothing is sent on. The stall timer answers nothing, but closed kept connections on which a request had arrived during a standstill; they are read first now.

--- a/packages/entry/src/http/callers.ts
+++ b/packages/entry/src/http/callers.ts
@@ -5,7 +5,7 @@
   type Clock, type ConfigHolder, type ConfigView, type Refusal,
 } from '@verbenashunt/core';
 import type { OrganisationDecl } from '@verbenashunt/schema';
-import { endByClosing, type BodyReader } from '@verbenashunt/wire';
+import { canRespond, endByClosing, type BodyReader } from '@verbenashunt/wire';
 import type { EntryMetrics } from '../metrics.js';
 import type { GenerationSink, GenerationSpec } from '../requests/generation.js';
 import type { RequestRun } from '../requests/registry.js';
@@ -100,6 +100,7 @@
       const found = authorized.view.modelOf(chat.model);
       if (!found) throw createRefusal('not_found', { detail: chat.model });
       checkFleet(authorized, found.fleet);
+      if (!canRespond(res)) return;
       const id = deps.nextId();
       const prompt = promptTokensOf(chat);
       if (prompt.length > deps.maxPromptTokens) {
@@ -148,6 +149,7 @@
       const repeatable = isRepeatable(match.route, method);
       const key = repeatable ? undefined : idempotencyKeyOf(req);
       const body = await readBody(req, deps.maxBodyBytes);
+      if (!canRespond(res)) return;
       const id = deps.nextId();
       const startedAt = clock.now();
       const labels = { org: authorized.org.name, cls: match.route.cls ?? 'service' };
--- a/packages/gateway/src/http/caller-handler.ts
+++ b/packages/gateway/src/http/caller-handler.ts
@@ -3,7 +3,9 @@
 import {
   BaseError, createRefusal, toRefusal, type Clock, type Refusal, type ServingView,
 } from '@verbenashunt/core';
-import { hasBody, type BodyReader } from '@verbenashunt/wire';
+import {
+  afterNextRead, canRespond, hasBody, type BodyReader,
+} from '@verbenashunt/wire';
 import type { GatewayMetrics } from '../metrics.js';
 import type { CallerProtocol, CallerRequest } from '../ports.js';
 import type { RequestLog } from '../requests/request-log.js';
@@ -29,18 +31,9 @@
   run(spec: RequestSpec, res: ServerResponse): void;
 }
 
-/**
- * Resolves after the event loop has read the connections once more. On a busy VM a request may have
- * waited unread while its caller gave up; only a further read shows that.
- */
-const afterNextRead = () => new Promise<void>((resolve) => {
-  // The first callback still runs in the current turn of the loop.
-  setImmediate(() => setImmediate(resolve));
-});
-
-/** Whether the caller has closed its connection, or its side of it. */
-const hasLeft = ({ socket }: IncomingMessage, res: ServerResponse) => res.destroyed
-  || socket.destroyed || socket.readableEnded;
+/** Whether the caller has closed its connection or its side of it, or was answered already. */
+const hasLeft = ({ socket }: IncomingMessage, res: ServerResponse) => !canRespond(res)
+  || socket.readableEnded;
 
 export function createCallerHandler(deps: CallerHandlerDeps) {
   const { callers } = deps;
@@ -85,6 +78,7 @@
     try {
       caller = callers.read(req);
       const spec = await admit(req, caller, arrivedAt);
+      // On a busy VM a request may have waited unread while its caller gave up.
       await afterNextRead();
       if (hasLeft(req, res)) deps.log.info({ req: caller.id }, 'caller left before the request was sent on');
       else deps.run(spec, res);
--- /dev/null
+++ b/packages/wire/src/http/client-errors.ts
@@ -0,0 +1,97 @@
+/** Refuses requests that are malformed or come too late, and handles nothing sent after them. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { createRefusal, refusalBody, type RefusalCode } from '@verbenashunt/core';
+import { afterArrivedBytes } from './next-read.js';
+
+/** What has arrived on a connection. */
+export interface ConnectionState {
+  /** Number of requests whose headers have arrived. */
+  requests: number;
+  /** Responses that are not completely sent. */
+  readonly pending: Set<ServerResponse>;
+}
+
+const statusText = 'Refused';
+const timeoutErrorCode = 'ERR_HTTP_REQUEST_TIMEOUT';
+/**
+ * Time in milliseconds for which a connection stays open after a refusal. Closed while its client
+ * is still sending, it would be reset, and the refusal lost.
+ */
+const lingerMs = 1000;
+
+/** Maps an error of Node's HTTP parser or its timeouts to a refusal code. */
+function refusalCodeOf(err: NodeJS.ErrnoException): RefusalCode {
+  if (err.code === 'HPE_HEADER_OVERFLOW') return 'headers_too_large';
+  return err.code === timeoutErrorCode ? 'request_timeout' : 'bad_request';
+}
+
+/** Whether bytes on a connection can still be taken for the answer to this request. */
+const isAwaited = (res: ServerResponse) => res.req.complete || res.headersSent;
+
+/** The request whose body is being received; undefined if there is none. */
+const incompleteRequest = ({ pending }: ConnectionState): IncomingMessage | undefined => (
+  [...pending].map(({ req }) => req).find(({ complete }) => !complete));
+
+/** Drops all further input of a connection, of which the HTTP parser then sees nothing. */
+function discardInput(socket: Socket) {
+  socket.removeAllListeners('data');
+  // Node passes input directly to the parser until a listener is added.
+  socket.on('data', () => {}).resume();
+}
+
+function sendRefusal(code: RefusalCode, socket: Socket) {
+  const refusal = createRefusal(code);
+  const body = JSON.stringify(refusalBody(refusal));
+  socket.end([
+    `HTTP/1.1 ${refusal.status} ${statusText}`, 'content-type: application/json', 'connection: close',
+    `content-length: ${Buffer.byteLength(body)}`, '', body,
+  ].join('\r\n'));
+  const closing = setTimeout(() => socket.destroy(), lingerMs);
+  socket.once('close', () => clearTimeout(closing));
+}
+
+/**
+ * Refuses what could not be parsed or is late. While an earlier request on the connection waits for
+ * its answer, the connection is closed instead, as the refusal would be taken for that answer.
+ * Nothing that is sent after a refusal is parsed, as "not run" must stay true.
+ */
+function refuse(err: NodeJS.ErrnoException, socket: Socket, { pending }: ConnectionState) {
+  if (err.code === 'ECONNRESET' || !socket.writable || [...pending].some(isAwaited)) {
+    socket.destroy();
+    return;
+  }
+  discardInput(socket);
+  sendRefusal(refusalCodeOf(err), socket);
+}
+
+/**
+ * Creates a handler of `clientError`. A request counts as late only if the rest of it has not
+ * arrived by the time its connection was read; `bodyTimeoutMs` limits the time of its body then.
+ */
+export function createClientErrorHandler(
+  stateOf: (socket: Socket) => ConnectionState,
+  bodyTimeoutMs: number,
+) {
+  async function refuseIfLate(err: NodeJS.ErrnoException, socket: Socket) {
+    const state = stateOf(socket);
+    const requestsBefore = state.requests;
+    const unfinished = incompleteRequest(state);
+    await afterArrivedBytes(socket);
+    const hasArrived = unfinished?.complete ?? state.requests > requestsBefore;
+    const next = incompleteRequest(state);
+    if (!hasArrived) refuse(err, socket, state);
+    // Node reports each request as late once only.
+    else if (next) {
+      const timer = setTimeout(() => {
+        if (!next.complete) refuseIfLate(err, socket);
+      }, bodyTimeoutMs);
+      next.once('close', () => clearTimeout(timer));
+    }
+  }
+
+  return (err: NodeJS.ErrnoException, socket: Socket) => {
+    if (err.code === timeoutErrorCode) refuseIfLate(err, socket);
+    else refuse(err, socket, stateOf(socket));
+  };
+}
--- a/packages/wire/src/http/listener.ts
+++ b/packages/wire/src/http/listener.ts
@@ -4,14 +4,14 @@
 } from 'node:http';
 import { createServer as createTlsServer } from 'node:https';
 import { Server as NetServer, type Socket } from 'node:net';
-import { createRefusal, refusalBody, type RefusalCode } from '@verbenashunt/core';
 import type { TlsCredentials } from '../tls.js';
+import { createClientErrorHandler, type ConnectionState } from './client-errors.js';
+import { afterNextRead } from './next-read.js';
 import { abortConnection } from './reset.js';
 
 /** Connections over `maxConnections` that still get a refusal as response; the rest are closed. */
 const maxRefusedConnections = 128;
 const timeoutCheckMs = 500;
-const statusText = 'Refused';
 
 export interface HttpListenerOptions {
   maxConnections: number;
@@ -25,6 +25,12 @@
   tls?: TlsCredentials | undefined;
 }
 
+/**
+ * Whether a response can still reach its client; if not, the client must not expect that its
+ * request is handled. An earlier response or refusal may have closed the connection.
+ */
+export const canRespond = (res: ServerResponse) => !res.destroyed && res.req.socket.writable;
+
 export interface HttpListener {
   readonly server: Server;
   /** Number of responses that are not completely sent. */
@@ -39,44 +45,17 @@
   destroy(): void;
 }
 
-/** Maps an error of Node's HTTP parser or its time-outs to a refusal code. */
-function refusalCodeOf(err: NodeJS.ErrnoException): RefusalCode {
-  if (err.code === 'HPE_HEADER_OVERFLOW') return 'headers_too_large';
-  return err.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 'request_timeout' : 'bad_request';
-}
-
-/** Whether bytes on a connection can still be taken for the answer to this request. */
-const isAwaited = (res: ServerResponse) => res.req.complete || res.headersSent;
-
-/**
- * Refuses what could not be parsed. While an earlier request on the connection waits for its
- * answer, the connection is closed instead, as the refusal would be taken for that answer.
- */
-function respondToClientError(
-  err: NodeJS.ErrnoException,
-  socket: Socket,
-  pending: ReadonlySet<ServerResponse>,
-) {
-  if (err.code === 'ECONNRESET' || !socket.writable || [...pending].some(isAwaited)) {
-    socket.destroy();
-    return;
-  }
-  const refusal = createRefusal(refusalCodeOf(err));
-  const body = JSON.stringify(refusalBody(refusal));
-  socket.end([
-    `HTTP/1.1 ${refusal.status} ${statusText}`, 'content-type: application/json', 'connection: close',
-    `content-length: ${Buffer.byteLength(body)}`, '', body,
-  ].join('\r\n'));
-}
-
 /** Creates a server; the caller starts listening. */
 export function createHttpListener(limits: HttpListenerOptions): HttpListener {
-  const sockets = new Set<Socket>();
+  const connections = new Map<Socket, ConnectionState>();
   const refusedSockets = new WeakSet<Socket>();
-  /** Those on which a request has arrived. */
-  const usedSockets = new WeakSet<Socket>();
-  const pendingResponses = new Map<Socket, Set<ServerResponse>>();
   let active = 0;
+
+  /** A connection that has closed has a state of its own, which is not kept. */
+  const stateOf = (socket: Socket): ConnectionState => connections.get(socket)
+    ?? { requests: 0, pending: new Set() };
+  const hasPending = (socket: Socket) => stateOf(socket).pending.size > 0;
+
   const options = {
     maxHeaderSize: limits.maxHeaderBytes,
     headersTimeout: limits.headerTimeoutMs,
@@ -91,34 +70,38 @@
   server.maxConnections = limits.maxConnections + maxRefusedConnections;
 
   server.on(limits.tls ? 'secureConnection' : 'connection', (socket: Socket) => {
-    if (sockets.size >= limits.maxConnections) refusedSockets.add(socket);
-    sockets.add(socket);
-    socket.once('close', () => sockets.delete(socket));
+    if (connections.size >= limits.maxConnections) refusedSockets.add(socket);
+    connections.set(socket, { requests: 0, pending: new Set() });
+    socket.once('close', () => connections.delete(socket));
   });
 
   server.on('request', (req: IncomingMessage, res: ServerResponse) => {
-    const { socket } = req;
-    usedSockets.add(socket);
+    const state = stateOf(req.socket);
+    state.requests += 1;
+    state.pending.add(res);
     active += 1;
-    const pending = pendingResponses.get(socket) ?? new Set();
-    pendingResponses.set(socket, pending.add(res));
     res.once('close', () => {
       active -= 1;
-      pending.delete(res);
-      if (pending.size === 0) pendingResponses.delete(socket);
+      state.pending.delete(res);
     });
   });
 
-  // Closes sockets without progress: the response is not being read, or no request is in progress.
-  // A socket that waits for this server to produce the response is kept.
-  server.setTimeout(limits.streamStallTimeoutMs, (socket) => {
-    if (socket.writableLength > 0) abortConnection(socket);
-    else if (!pendingResponses.has(socket)) socket.destroy();
-  });
-  server.on('clientError', (err, socket) => {
-    const pending = pendingResponses.get(socket as Socket) ?? new Set();
-    respondToClientError(err, socket as Socket, pending);
-  });
+  /**
+   * Closes a socket without progress: the response is not being read, or no request is in progress.
+   * A socket that waits for this server to produce the response is kept.
+   */
+  async function closeStalled(socket: Socket) {
+    if (socket.writableLength > 0) {
+      abortConnection(socket);
+      return;
+    }
+    await afterNextRead();
+    if (!hasPending(socket)) socket.destroy();
+  }
+
+  server.setTimeout(limits.streamStallTimeoutMs, closeStalled);
+  const handleClientError = createClientErrorHandler(stateOf, limits.bodyTimeoutMs);
+  server.on('clientError', (err, socket) => handleClientError(err, socket as Socket));
 
   return {
     server,
@@ -132,11 +115,11 @@
       NetServer.prototype.close.call(server, onClosed);
     },
     closeIdle() {
-      [...sockets].filter((socket) => usedSockets.has(socket) && !pendingResponses.has(socket))
-        .forEach((socket) => socket.destroy());
+      [...connections].filter(([, { requests, pending }]) => requests > 0 && pending.size === 0)
+        .forEach(([socket]) => socket.destroy());
     },
     destroy() {
-      [...pendingResponses.keys()].forEach(abortConnection);
+      [...connections.keys()].filter(hasPending).forEach(abortConnection);
       server.closeAllConnections();
     },
   };
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -13,6 +13,7 @@
 export * from './http/body.js';
 export * from './http/headers.js';
 export * from './http/listener.js';
+export * from './http/next-read.js';
 export * from './http/stream.js';
 export * from './exchange.js';
 export * from './reachability.js';
