Send every stream in chunks, so that one whose entry is killed does not look whole

Cause: such a stream was passed on in the same form where its end could not be settled by another run (routes that may not be resumed, scarce retries). The system closes the connections of a killed process in order, so the form was the only thing that could have told the two apart. A freeze marks nothing either, but its connections stay open; a balancer that cuts off resets.

The unmarked form stood for an end that could not be judged. What its caller gets now: chunks always; with the verdict "complete" a last chunk, with "broken" or "unsettled" and a retry left another run, without one a cut. Where no other run may settle the end, an end in order of targets that all live on is taken for whole, as HTTP has it (RFC 9112, section 8) and as callers had to take it before; new is that an end after a silence in which the stream counts as stalled is a break: so ends a target that can't reach a later stage. Which streams are settled is decided as before, so that no whole one is cut more often.

--- a/packages/core/src/serving/stream-end.ts
+++ b/packages/core/src/serving/stream-end.ts
@@ -11,22 +11,34 @@
   lastEventId: number | undefined;
   /** The same when an earlier run of the stream ended in this way; undefined if none did. */
   earlierEndId: number | undefined;
-  /** Whether the end of the caller's answer is marked, by a length or chunked encoding. */
-  isAnswerFramed: boolean;
+  /**
+   * Whether another run has to show that the stream is whole: its answer began with a marked end,
+   * or with a retry that is kept for this.
+   */
+  mustBeSettled: boolean;
+  /** Silence between the last event and the end, in milliseconds. */
+  silenceMs: number;
+  /** Silence in milliseconds after which a stream counts as stalled. */
+  stalledAfterMs: number;
 }
 
 /**
  * - `broken`: the stream has been broken off.
  * - `unsettled`: it may be whole or broken off, which only another run can tell.
- * - `whole_if_unharmed`: the caller's answer may end in the same way, unless a target was lost.
+ * - `whole_if_unharmed`: it counts as whole unless a target was lost. An end in order is the
+ *   target's word, as with any response without a length (RFC 9112, section 8).
  */
 export type UnframedEndMeaning = 'broken' | 'unsettled' | 'whole_if_unharmed';
 
 export function meaningOfUnframedEnd({
-  hasEvents, lastEventId, earlierEndId, isAnswerFramed,
+  hasEvents, lastEventId, earlierEndId, mustBeSettled, silenceMs, stalledAfterMs,
 }: UnframedEnd): UnframedEndMeaning {
   if (!hasEvents) return 'broken';
   // Two runs agree that no event follows.
   const isConfirmed = lastEventId !== undefined && lastEventId === earlierEndId;
-  return isConfirmed || !isAnswerFramed ? 'whole_if_unharmed' : 'unsettled';
+  if (isConfirmed) return 'whole_if_unharmed';
+  if (mustBeSettled) return 'unsettled';
+  // The last event is followed by the end at once; a target ends a stream late that waits for a
+  // stage it can't reach.
+  return silenceMs < stalledAfterMs ? 'whole_if_unharmed' : 'broken';
 }
--- a/packages/gateway/src/http/answer-sink.ts
+++ b/packages/gateway/src/http/answer-sink.ts
@@ -14,9 +14,6 @@
   callers: CallerProtocol,
   requestId: string,
 ): AnswerSink {
-  /** Whether the end of a stream is marked in the answer. */
-  let isMarked = true;
-
   return {
     sendWhole({
       status, headers, body, isFramed,
@@ -27,17 +24,17 @@
       else endByClosing(res).writeHead(status, responseHeaders);
       res.end(body);
     },
-    open({ status, headers, isFramed }) {
-      isMarked = isFramed && acceptsChunks(res);
+    open({ status, headers }) {
       return openStream(res, {
-        status, headers: callers.answerHeaders(headers), encoding: 'latin1', isFramed,
+        status, headers: callers.answerHeaders(headers), encoding: 'latin1',
       }, maxBacklogBytes, () => {});
     },
     refuse(refusal) {
       if (!res.destroyed) callers.refuse(res, refusal, requestId);
     },
     cutOff() {
-      if (isMarked) res.destroy();
+      // The missing last chunk shows the break; without chunks only a reset does.
+      if (acceptsChunks(res)) res.destroy();
       else abortResponse(res);
     },
   };
--- a/packages/gateway/src/requests/delivery.ts
+++ b/packages/gateway/src/requests/delivery.ts
@@ -29,8 +29,6 @@
 export interface Delivery {
   /** Whether the caller has received a part of the answer. */
   readonly hasStarted: boolean;
-  /** Whether the end of the answer is marked, by chunked encoding; true before its start. */
-  readonly isFramed: boolean;
   /** Id of the last event that the caller has received; undefined if there is none. */
   readonly lastEventId: number | undefined;
   /**
@@ -57,20 +55,11 @@
   const eventOrder = createEventOrder(spec.caller.lastEventId);
   const timing = createStreamTiming(clock, spec.arrivedAt);
   let writer: AnswerWriter | undefined;
-  let isFramed = true;
-
-  function open(start: AnswerStart): AnswerWriter {
-    isFramed = start.isFramed;
-    return sink.open(start);
-  }
 
   return {
     get hasStarted() {
       return writer !== undefined;
     },
-    get isFramed() {
-      return isFramed;
-    },
     get lastEventId() {
       return eventOrder.last;
     },
@@ -79,12 +68,12 @@
       if (verdict === 'repeated' || verdict === 'gap') return verdict;
       const firstMs = timing.event();
       if (firstMs !== undefined) deps.firstByteSent(firstMs);
-      writer ??= open(start);
+      writer ??= sink.open(start);
       writer.write(next.bytes.toString('latin1'));
       return 'sent';
     },
     complete(start, { choice, attempts }) {
-      writer ??= open(start);
+      writer ??= sink.open(start);
       log.info({
         req: id,
         version: spec.version,
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -49,6 +49,8 @@
   let isOver = false;
   /** Time of the last event, or since when one is expected. */
   let quietSince = spec.arrivedAt;
+  /** Whether another run has to show that the stream is whole if its end is not marked. */
+  let mustBeSettled = true;
   /** Last event of the caller when a run ended without a sign of whether the stream was whole. */
   let earlierEndId: number | undefined;
   /** Progress of the current attempt; undefined for a call that is not a stream. */
@@ -202,7 +204,7 @@
   async function endedUnframed(start: AnswerStart) {
     const ended = attempt;
     cancelWatch();
-    const { lastEventId, isFramed: isAnswerFramed } = delivery;
+    const { lastEventId } = delivery;
     const verdict = await judgeUnframedEnd({
       spec,
       choice: choice!,
@@ -210,7 +212,9 @@
       hasEvents: retryState.delivered || lastEventId !== undefined,
       lastEventId,
       earlierEndId,
-      isAnswerFramed,
+      mustBeSettled,
+      silenceMs: clock.now() - quietSince,
+      stalledAfterMs: resumeAfterMs(spec.route, true),
     }, deps);
     if (isOver || attempt !== ended) return;
     if (verdict === 'complete') completed(start);
@@ -247,14 +251,11 @@
     abandon(isDropped ? 'silent while later streams started' : 'silent without a reported stall');
   }
 
-  /** The caller's answer marks its end only if another run can show that the stream is whole. */
-  const answerStartOf = (start: AnswerStart): AnswerStart => ({
-    ...start, isFramed: start.isFramed || retries.reserve(),
-  });
-
   function event(next: StreamEvent, start: AnswerStart) {
     const last = delivery.lastEventId;
-    const verdict = delivery.sendEvent(next, delivery.hasStarted ? start : answerStartOf(start));
+    // Reserved before the answer begins, or streams that begin together all count on one retry.
+    if (!delivery.hasStarted) mustBeSettled = start.isFramed || retries.reserve();
+    const verdict = delivery.sendEvent(next, start);
     if (verdict === 'repeated') return;
     if (verdict === 'gap') {
       abandon(`gap in the stream: event ${next.id} follows ${last}`, undefined, { end: 'broken' });
--- a/packages/gateway/src/requests/spec.ts
+++ b/packages/gateway/src/requests/spec.ts
@@ -30,7 +30,8 @@
   headers: IncomingHttpHeaders;
   /**
    * Whether its end is marked, by a length or chunked encoding. If not, only its sender knows
-   * whether it is complete, so it is passed on without either.
+   * whether it is complete. A whole answer is then passed on without either; a stream has chunks
+   * for its caller in any case.
    */
   isFramed: boolean;
 }
--- a/packages/wire/src/http/stream.ts
+++ b/packages/wire/src/http/stream.ts
@@ -29,11 +29,6 @@
   headers: OutgoingHttpHeaders;
   /** Encoding of the text passed to the writer. */
   encoding: BufferEncoding;
-  /**
-   * Whether to use chunked encoding, the default, if the client understands it; without it the
-   * connection ends the response.
-   */
-  isFramed?: boolean;
 }
 
 /** Makes a response end with its connection, without Content-Length or chunked encoding. */
@@ -55,24 +50,25 @@
 
 /**
  * Sends the response head and returns a writer for the body, which destroys the response once
- * more than `maxBacklogBytes` are unsent. ServerResponse would write each chunk in four pieces, so
- * the writer encodes chunks itself, unless an earlier response still occupies the connection.
+ * more than `maxBacklogBytes` are unsent. The body is chunked if the client understands that: the
+ * connection is closed in order also when this process is killed, and only the missing last chunk
+ * shows then that the response was broken off. ServerResponse would write each chunk in four
+ * pieces, so the writer encodes chunks itself, unless an earlier response still occupies the
+ * connection.
  */
 export function openStream(
   res: ServerResponse,
-  {
-    status, headers, encoding, isFramed: isMarked = true,
-  }: StreamHead,
+  { status, headers, encoding }: StreamHead,
   maxBacklogBytes: number,
   onSlowReader: () => void,
 ): StreamWriter {
-  const isFramed = isMarked && acceptsChunks(res);
+  const isChunked = acceptsChunks(res);
   /** Encodes a chunk of a chunked body as one string, so that it takes a single write. */
   const encodeChunk = (text: string) => `${Buffer.byteLength(text, encoding).toString(hexRadix)}\r\n${text}\r\n`;
-  const encode = isFramed ? encodeChunk : (text: string) => text;
+  const encode = isChunked ? encodeChunk : (text: string) => text;
   const { socket } = res;
   socket?.cork();
-  if (isFramed) res.writeHead(status, { ...headers, 'transfer-encoding': 'chunked' });
+  if (isChunked) res.writeHead(status, { ...headers, 'transfer-encoding': 'chunked' });
   else endByClosing(res).writeHead(status, headers);
   res.flushHeaders();
   // Corked, so that the head is sent together with the first chunk.
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -13,6 +13,8 @@
 import { freePort } from '@verbenashunt/stand-ins';
 import { bundle } from '../../scripts/bundle.mjs';
 import { callGateway, streamHeaders } from '../support/gateway-fixture.js';
+import { callRaw } from '../support/raw-caller.js';
+import { wait } from '../support/raw-connection.js';
 import { startSteadyCallers } from '../support/steady-callers.js';
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
@@ -139,6 +141,29 @@
   engine.pauseAfter = undefined;
 });
 
+// Guards against part of a stream that ends for its caller like a whole one.
+test('a stream without a length or chunks does not look whole when the process is killed', async () => {
+  const gateway = await startGatewayProcess();
+  await expectReadiness(gateway).toBe(200);
+  engine.behaviour = 'unframed-stream';
+  const runsBefore = engine.ran.length;
+  const answer = callRaw(gateway.frontPort, {
+    path: '/once/x',
+    body: 'prompt',
+    headers: {
+      ...streamHeaders, 'request-id': 'killed', 'request-deadline-ms': '5000', authorization: 'Bearer key-1',
+    },
+  });
+  await expect.poll(() => engine.ran.length).toBe(runsBefore + 1);
+  await wait(200);
+  gateway.child.kill('SIGKILL');
+  const { status, body, isEnded } = await answer;
+  expect({ status, isEnded }).toEqual({ status: 200, isEnded: false });
+  expect(body).toContain('id: 1\n');
+  await gateway.exit;
+  engine.behaviour = 'answer';
+});
+
 test('a second SIGTERM cuts off nothing under 20 connections that keep sending', async () => {
   const app = await startTarget({ id: 'app' });
   store.put('servers', 'app', app.row('app'));
