Record what an answer announces for the target that was asked, listed or not

Cause: an announcement was attributed by the list at the moment the answer arrived, by address. The row of a target that leaves is just the one that is gone then: nothing was recorded, and when a late write brought the row back, the target was used. The same held for its pause and its rate limit; where another target had taken over the address, that one was marked.

Ruled out: what is remembered outlasts a reset of the list and a restoration (test/serving/ targets). Found besides: a row that states no start was none of the leaving target's; 421, which a successor at the address gives, marked the target asked.

Fix: exchanges are started with a target (TargetExchanger.to), and announcements hold for that incarnation. byAddress is gone, so that nothing can be looked up so again.

--- a/packages/core/src/serving/targets.ts
+++ b/packages/core/src/serving/targets.ts
@@ -41,32 +41,37 @@
   reset(targets: readonly ServingTarget[]): void;
   /** Records the layers that a target holds; does nothing for one that is not known. */
   setHeld(id: string, held: HeldRange | undefined): void;
-  /** Marks a target as draining; returns false if it was, or is not known. */
-  markDraining(id: string): boolean;
+  /**
+   * Records that an incarnation is draining, whether it is listed now or not; returns false if this
+   * was known.
+   */
+  markDraining(target: ServingTarget): boolean;
   byId(id: string): ServingTarget | undefined;
-  byAddress(address: string): ServingTarget | undefined;
   ofService(service: string): readonly ServingTarget[];
   readonly all: readonly ServingTarget[];
 }
 
-/** Draining incarnations that are remembered; the least recently seen ones are evicted. */
-const maxDraining = 4096;
+/** Keys of draining incarnations that are remembered; the least recently seen are evicted. */
+const maxDraining = 8192;
 
 export function createTargetTable(): TargetTable {
   const targets = new Map<string, ServingTarget>();
   const drainingIncarnations = new QuickLRU<string, true>({ maxSize: maxDraining });
   let byService: Map<string, ServingTarget[]> | undefined;
-  let byAddress: Map<string, ServingTarget> | undefined;
 
   function dropIndexes() {
     byService = undefined;
-    byAddress = undefined;
+  }
+
+  function remember(target: ServingTarget) {
+    drainingIncarnations.set(incarnationOf(target), true);
+    // A row that states no start may be of this incarnation.
+    drainingIncarnations.set(incarnationOf({ ...target, startedAt: undefined }), true);
   }
 
   function put(target: ServingTarget) {
-    const incarnation = incarnationOf(target);
-    const draining = target.draining || drainingIncarnations.has(incarnation);
-    if (draining) drainingIncarnations.set(incarnation, true);
+    const draining = target.draining || drainingIncarnations.has(incarnationOf(target));
+    if (draining) remember(target);
     targets.set(target.id, draining === target.draining ? target : { ...target, draining });
     dropIndexes();
   }
@@ -85,17 +90,15 @@
       const target = targets.get(id);
       if (target) put({ ...target, held });
     },
-    markDraining(id) {
-      const target = targets.get(id);
-      if (!target || target.draining) return false;
-      put({ ...target, draining: true });
+    markDraining(target) {
+      const incarnation = incarnationOf(target);
+      if (drainingIncarnations.has(incarnation)) return false;
+      remember(target);
+      const listed = targets.get(target.id);
+      if (listed && incarnationOf(listed) === incarnation) put(listed);
       return true;
     },
     byId: (id) => targets.get(id),
-    byAddress(address) {
-      byAddress ??= new Map([...targets.values()].map((target) => [target.address, target]));
-      return byAddress.get(address);
-    },
     ofService(service) {
       byService ??= groupBy([...targets.values()], (target) => target.service);
       return byService.get(service) ?? [];
--- a/packages/gateway/src/placement/controller.ts
+++ b/packages/gateway/src/placement/controller.ts
@@ -81,9 +81,13 @@
       lo: range.lo, hi: range.hi, fencingToken: token, expectedOrders: orders,
     });
     // A late copy of an earlier answer would be taken for the result, as it names no order.
-    const { status } = await exchangeOnce(exchanger, target.address, order, targetTimeoutMs, {
-      dedicatedConnection: true,
-    });
+    const { status } = await exchangeOnce(
+      exchanger.to(target),
+      target.address,
+      order,
+      targetTimeoutMs,
+      { dedicatedConnection: true },
+    );
     const result = protocol.orderResult(status);
     log.info({
       target: target.id, lo: range.lo, hi: range.hi, token, result, was: target.held,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -186,8 +186,11 @@
 export interface TargetProtocol {
   encode(attempt: AttemptRequest): OutgoingRequest;
   head(status: number, headers: IncomingHttpHeaders): AnswerHead;
-  /** To be called once for each answer, as it counts the headers that are not valid. */
-  announcement(status: number, headers: IncomingHttpHeaders): Announcement;
+  /**
+   * To be called once for each answer, as it counts the headers that are not valid. Returns
+   * undefined if another target may have given the answer.
+   */
+  announcement(status: number, headers: IncomingHttpHeaders): Announcement | undefined;
   reportRequest(target: ServingTarget): OutgoingRequest;
   /** Throws ProtocolError. */
   decodeReport(status: number, body: Buffer): TargetReport;
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -3,12 +3,13 @@
 import {
   createEventSplitter, isComment, isEventText, isHeldBack, type AttemptEnd, type StreamEvent,
 } from '@verbenashunt/core';
-import type { Exchange, Exchanger } from '@verbenashunt/wire';
+import type { Exchange } from '@verbenashunt/wire';
 import type { AttemptRequest, TargetProtocol } from '../ports.js';
+import type { TargetExchanger } from '../targets/target-exchanger.js';
 import type { AnswerStart, WholeAnswer } from './spec.js';
 
 export interface AttemptDeps {
-  exchanger: Exchanger;
+  exchanger: Pick<TargetExchanger, 'to'>;
   protocol: TargetProtocol;
 }
 
@@ -140,7 +141,7 @@
     else handler.endedUnframed(start!);
   }
 
-  exchange = exchanger.start(req.target.address, protocol.encode(req), {
+  exchange = exchanger.to(req.target).start(req.target.address, protocol.encode(req), {
     head(status, headers, isFramed) {
       const { requestId, notRun, blamed } = protocol.head(status, headers);
       start = { status, headers, isFramed };
--- a/packages/gateway/src/requests/reroute.ts
+++ b/packages/gateway/src/requests/reroute.ts
@@ -75,7 +75,7 @@
     }
     if (!next) return;
     const { status } = await exchangeOnce(
-      deps.exchanger,
+      deps.exchanger.to(next.target),
       next.target.address,
       deps.protocol.repathRequest(next.target, spec.caller.id, next.chain!, undefined),
       repathTimeoutMs,
--- a/packages/gateway/src/routing/report.ts
+++ b/packages/gateway/src/routing/report.ts
@@ -1,10 +1,11 @@
 /** Requests a target's report of its load and state. */
 import type { ServingTarget } from '@verbenashunt/core';
-import { exchangeOnce, type ExchangeOptions, type Exchanger } from '@verbenashunt/wire';
+import { exchangeOnce, type ExchangeOptions } from '@verbenashunt/wire';
 import type { TargetProtocol, TargetReport } from '../ports.js';
+import type { TargetExchanger } from '../targets/target-exchanger.js';
 
 export interface ReportDeps {
-  exchanger: Exchanger;
+  exchanger: Pick<TargetExchanger, 'to'>;
   protocol: TargetProtocol;
 }
 
@@ -16,7 +17,7 @@
   options?: ExchangeOptions,
 ): Promise<TargetReport> {
   const { status, body } = await exchangeOnce(
-    exchanger,
+    exchanger.to(target),
     target.address,
     protocol.reportRequest(target),
     timeoutMs,
--- a/packages/gateway/src/targets/target-exchanger.ts
+++ b/packages/gateway/src/targets/target-exchanger.ts
@@ -9,7 +9,7 @@
   type ServingTarget, type TargetPauses, type TargetRateLimits, type TargetTable,
 } from '@verbenashunt/core';
 import type {
-  Exchange, ExchangeHandler, Exchanger, ExchangeOptions, OutgoingRequest,
+  Exchange, ExchangeHandler, Exchanger, ExchangeStarter,
 } from '@verbenashunt/wire';
 import type { TargetProtocol } from '../ports.js';
 import { toLimitedTarget, type RateLimiter } from './rate-limiter.js';
@@ -18,12 +18,21 @@
   log: Logger;
   exchanger: Exchanger;
   protocol: Pick<TargetProtocol, 'announcement'>;
-  targets: TargetTable;
+  targets: Pick<TargetTable, 'markDraining'>;
   pauses: TargetPauses;
   rateLimits: TargetRateLimits;
   rateLimiter: Pick<RateLimiter, 'take'>;
 }
 
+export interface TargetExchanger {
+  /**
+   * Starts exchanges with a target. What its answers announce holds for the incarnation given here,
+   * which may have left the list by then, or have lost its address to another target.
+   */
+  to(target: ServingTarget): ExchangeStarter;
+  close(): void;
+}
+
 /** Fails an exchange without sending anything, after the caller has received its handle. */
 function failUnsent(handler: ExchangeHandler, err: Error): Exchange {
   let isAborted = false;
@@ -42,37 +51,36 @@
   `${address} takes no further request for ${Math.ceil(waitMs)} ms`,
 );
 
-export function createTargetExchanger(deps: TargetExchangerDeps): Exchanger {
+export function createTargetExchanger(deps: TargetExchangerDeps): TargetExchanger {
   const {
     log, exchanger, protocol, targets, pauses, rateLimits, rateLimiter,
   } = deps;
 
-  /** Reads the announcements of the target at an address. */
-  function recordHead(address: string, ...head: Parameters<TargetProtocol['announcement']>) {
-    const { isLeaving, pauseMs, limitPerS } = protocol.announcement(...head);
-    const target = targets.byAddress(address);
-    if (!target) return;
+  /** Reads the announcements of a target. */
+  function recordHead(target: ServingTarget, ...head: Parameters<TargetProtocol['announcement']>) {
+    const announcement = protocol.announcement(...head);
+    if (!announcement) return;
+    const { isLeaving, pauseMs, limitPerS } = announcement;
+    const { id, address, startedAt } = target;
     if (rateLimits.record(target, limitPerS)) {
-      log.info({ target: target.id, address, limitPerS }, 'target changed its rate limit');
+      log.info({ target: id, address, limitPerS }, 'target changed its rate limit');
     }
-    if (isLeaving && targets.markDraining(target.id)) {
-      log.info({ target: target.id, address }, 'target says that it is leaving');
+    if (isLeaving && targets.markDraining(target)) {
+      log.info({ target: id, address, startedAt }, 'target says that it is leaving');
     }
     if (pauseMs === 0) return;
-    log.info({ target: target.id, address, pauseMs }, 'target wants a pause');
+    log.info({ target: id, address, pauseMs }, 'target wants a pause');
     pauses.pause(target, pauseMs);
   }
 
   function startNow(
-    address: string,
-    req: OutgoingRequest,
-    handler: ExchangeHandler,
-    options: ExchangeOptions,
+    target: ServingTarget,
+    ...[address, req, handler, options]: Parameters<Exchanger['start']>
   ): Exchange {
     return exchanger.start(address, req, {
       ...handler,
       head(status, headers, isFramed) {
-        recordHead(address, status, headers);
+        recordHead(target, status, headers);
         handler.head(status, headers, isFramed);
       },
     }, options);
@@ -91,7 +99,7 @@
     function onToken(waitMs: number) {
       if (isAborted) return;
       if (waitMs === 0) {
-        exchange = startNow(...exchangeArgs);
+        exchange = startNow(target, ...exchangeArgs);
         return;
       }
       rateLimits.hold(target, waitMs);
@@ -110,19 +118,21 @@
     };
   }
 
-  function start(...exchangeArgs: Parameters<Exchanger['start']>): Exchange {
+  function start(target: ServingTarget, ...exchangeArgs: Parameters<Exchanger['start']>): Exchange {
     const [address, , handler] = exchangeArgs;
-    const target = targets.byAddress(address);
-    if (target && pauses.isPaused(target)) {
+    if (pauses.isPaused(target)) {
       return failUnsent(handler, new TargetPausedError(`${address} wants no requests for ${Math.ceil(pauses.remainingMs(target))} ms`));
     }
-    const limitPerS = target && rateLimits.limitOf(target);
-    if (!target || limitPerS === undefined) return startNow(...exchangeArgs);
+    const limitPerS = rateLimits.limitOf(target);
+    if (limitPerS === undefined) return startNow(target, ...exchangeArgs);
     const heldMs = rateLimits.heldMs(target);
     return heldMs > 0
       ? failUnsent(handler, limitedError(target, heldMs))
       : startWithToken(target, limitPerS, ...exchangeArgs);
   }
 
-  return { start, dropIdle: exchanger.dropIdle, close: exchanger.close };
+  return {
+    to: (target) => ({ start: (...exchangeArgs) => start(target, ...exchangeArgs) }),
+    close: exchanger.close,
+  };
 }
--- a/packages/gateway/src/targets/target-tracking.ts
+++ b/packages/gateway/src/targets/target-tracking.ts
@@ -24,7 +24,7 @@
 import { createRateLimiter, type RateLimiter } from './rate-limiter.js';
 import { createMeteredExchanger } from '../turns/metered.js';
 import type { TurnMeter } from '../turns/turn-meter.js';
-import { createTargetExchanger } from './target-exchanger.js';
+import { createTargetExchanger, type TargetExchanger } from './target-exchanger.js';
 
 export interface TargetTrackingOptions {
   node: string;
@@ -58,7 +58,7 @@
   rateLimits: TargetRateLimits;
   rateLimiter: RateLimiter;
   /** For all requests to targets. */
-  exchanger: Exchanger;
+  exchanger: TargetExchanger;
   /** Whether a target accepts a connection. */
   isReachable(target: ServingTarget): Promise<boolean>;
   selector: Selector;
--- a/packages/wire/src/exchange.ts
+++ b/packages/wire/src/exchange.ts
@@ -44,13 +44,16 @@
   abort(): void;
 }
 
-export interface Exchanger {
+export interface ExchangeStarter {
   start(
     address: string,
     req: OutgoingRequest,
     handler: ExchangeHandler,
     options: ExchangeOptions,
   ): Exchange;
+}
+
+export interface Exchanger extends ExchangeStarter {
   /**
    * Closes the idle connections to an address. To be called when one of them has gone silent, as
    * the others may have as well, which only a timeout shows.
@@ -231,7 +234,7 @@
  * AnswerTooLargeError if its body is larger than `maxBytes`.
  */
 export const exchangeOnce = (
-  exchanger: Exchanger,
+  exchanger: ExchangeStarter,
   address: string,
   req: OutgoingRequest,
   timeoutMs: number,
--- a/test/gateway/announcements.test.ts
+++ b/test/gateway/announcements.test.ts
@@ -50,6 +50,24 @@
   expect(leaving.arrivals).toBeGreaterThan(1);
 });
 
+// Guards against calls to a target that left, when a late write brings its row back.
+test('a target whose answer says that it is leaving when its row is gone gets no calls later', async () => {
+  fixture = await startGatewayFixture({ apps: 2 });
+  const [leaving] = fixture.apps as [TargetStandIn, TargetStandIn];
+  fixture.apps.forEach((app) => Object.assign(app, { answerMs: 200 }));
+  const calls = callTimes(8);
+  await expect.poll(() => leaving.ran.length).toBeGreaterThan(0);
+  leaving.leaving = '1';
+  fixture.store.remove('servers', leaving.id);
+  expect(await calls).toEqual(Array(8).fill(200));
+  fixture.apps.forEach((app) => Object.assign(app, { answerMs: 0 }));
+  const { arrivals } = leaving;
+  fixture.store.put('servers', leaving.id, { ...leaving.row('app'), sequence: 2 });
+  await wait(300);
+  expect(await callTimes(20)).toEqual(Array(20).fill(200));
+  expect(leaving.arrivals).toBe(arrivals);
+});
+
 test('an engine that says in its report that it is leaving gets no new streams', async () => {
   fixture = await startGatewayFixture({ pool: [[0, 8], [0, 8]] });
   const [leaving, other] = fixture.pool as [TargetStandIn, TargetStandIn];
--- a/test/gateway/load-monitor.test.ts
+++ b/test/gateway/load-monitor.test.ts
@@ -35,7 +35,7 @@
   const load = createLoadMonitor({
     clock,
     log: pino({ level: 'silent' }),
-    exchanger,
+    exchanger: { to: () => exchanger },
     protocol: createPlatformPorts('127.0.0.1:1').targets,
     pauses,
     rateLimits: { limitOf: () => undefined },
--- a/test/gateway/order-permit.test.ts
+++ b/test/gateway/order-permit.test.ts
@@ -61,7 +61,7 @@
         : { token: lease.token, isHolderUnknown: false }),
       onFenced() {},
     },
-    exchanger,
+    exchanger: { to: () => exchanger },
     protocol,
     pauses: { isPaused: () => false },
     rateLimits: { heldMs: () => 0, limitOf: () => undefined },
--- a/test/gateway/same-incarnation.test.ts
+++ b/test/gateway/same-incarnation.test.ts
@@ -42,7 +42,7 @@
   const targets = createTargetTable();
   if (listed) targets.apply({ id: listed.id, target: listed });
   return isSameIncarnation(asked, isEngine, {
-    exchanger,
+    exchanger: { to: () => exchanger },
     protocol: ports.targets,
     targets,
     isReachable: ({ address }) => acceptsConnection(address, 100),
--- a/test/platform/malformed.test.ts
+++ b/test/platform/malformed.test.ts
@@ -103,7 +103,7 @@
   const names = ['request-id', 'not-executed', 'at-server', 'server-leaving', 'server-limit', 'retry-after'];
   fc.assert(fc.property(fc.integer({ min: 0, max: 999 }), headersOf(names), (status, headers) => {
     targets.head(status, headers);
-    const { pauseMs, limitPerS = 0 } = targets.announcement(status, headers);
+    const { pauseMs = 0, limitPerS = 0 } = targets.announcement(status, headers) ?? {};
     expect(Number.isFinite(pauseMs) && Number.isFinite(limitPerS)).toBe(true);
   }), runs);
 });
