Test that an answer which ends in its head is none

Operators of other systems report targets that stopped in the middle of an answer's head, whose callers got a 200 with an empty or short body.

--- a/test/requests/unframed-calls.test.ts
+++ b/test/requests/unframed-calls.test.ts
@@ -70,3 +70,20 @@
   });
   expect((await call(cluster, '/any')).status).toBe(204);
 });
+
+// Guards against a part of a head that passes for a whole answer with an empty or short body.
+test('an answer that ends in its head is none, wherever it is cut', async () => {
+  const text = 'HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 31\r\n\r\n';
+  let length = 0;
+  const cluster = await start((socket) => {
+    length += 12;
+    socket.end(text.slice(0, length));
+  });
+  const cuts = Array.from({ length: Math.ceil(text.length / 12) });
+  const statuses: number[] = [];
+  await cuts.reduce(async (before: Promise<void>) => {
+    await before;
+    statuses.push((await call(cluster, '/any')).status);
+  }, Promise.resolve());
+  expect(statuses.filter((status) => status < 500)).toEqual([]);
+});
