Take the time limit and the record of failed attempts out of the run of a request

The limit of an attempt's time is a pure function of its own, the count, log line and blame of a failed attempt a module, and the default failure stands once instead of twice. No change of behaviour; test/gateway, serving and platform pass as before.

--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -77,6 +77,16 @@
 const mayBeStream = (headers: IncomingHttpHeaders) => (headers['content-type'] ?? streamType)
   .toLowerCase().startsWith(streamType);
 
+/** A failure of which nothing else is known. */
+export const failureOf = (end: AttemptEnd, reason: string): AttemptFailure => ({
+  end,
+  reason,
+  isConnectionLost: false,
+  isHeldBack: false,
+  blamed: undefined,
+  answer: undefined,
+});
+
 export function startAttempt(
   req: AttemptRequest,
   options: AttemptOptions,
@@ -99,15 +109,7 @@
     if (isOver) return;
     isOver = true;
     exchange?.abort();
-    handler.failed({
-      end: attemptEnd,
-      reason,
-      isConnectionLost: false,
-      isHeldBack: false,
-      blamed: undefined,
-      answer: undefined,
-      ...details,
-    });
+    handler.failed({ ...failureOf(attemptEnd, reason), ...details });
   }
 
   function endWholeAnswer() {
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -3,14 +3,15 @@
   afterAttempt, newRetryState, nextStep, targetPriorityOf,
   type AttemptEnd, type CancelTimer, type RefusalCode, type StreamEvent,
 } from '@verbenashunt/core';
-import { recordFailedAttempt } from '../routing/record-failure.js';
 import type { Choice, Selector } from '../routing/selector.js';
 import {
-  startAttempt, type Attempt, type AttemptDeps, type AttemptFailure,
+  failureOf, startAttempt, type Attempt, type AttemptDeps, type AttemptFailure,
 } from './attempt.js';
+import { attemptTimeoutMs } from './attempt-time.js';
 import type { CrashWatch } from './crash-watch.js';
 import { createDelivery, type DeliveryDeps } from './delivery.js';
 import { createEnding } from './ending.js';
+import { recordAttemptFailure } from './failed-attempt.js';
 import type { StreamProgress } from './progress.js';
 import { createRerouter } from './reroute.js';
 import { createRetries, type RetriesDeps } from './retries.js';
@@ -30,9 +31,6 @@
   startQueue: StartQueue;
 }
 
-/** Time limit of one attempt of an idempotent call, in latency objectives of its route. */
-const attemptObjectives = 3;
-
 export function startRun(spec: RequestSpec, sink: AnswerSink, deps: RunDeps): RequestRun {
   const { clock, log, selector } = deps;
   const delivery = createDelivery(spec, sink, deps);
@@ -146,22 +144,12 @@
       return;
     }
     retries.sent();
-    const { end: attemptEnd, reason, blamed } = failure;
-    deps.attemptFailed(attemptEnd);
-    log.info({
-      req: spec.caller.id,
-      version: spec.version,
-      target: choice!.target.id,
-      blamed,
-      end: attemptEnd,
-      reason,
-      last: delivery.lastEventId,
-    }, 'attempt failed');
-    const culprit = recordFailedAttempt(selector, {
-      service: spec.service, sentTo: choice!.target.id, end: attemptEnd, blamed,
-    });
+    const { lastEventId } = delivery;
+    const culprit = recordAttemptFailure({
+      spec, choice: choice!, failure, lastEventId,
+    }, deps);
     if (culprit !== undefined) avoid.add(culprit);
-    retryState = afterAttempt(retryState, attemptEnd);
+    retryState = afterAttempt(retryState, failure.end);
     if (failure.isConnectionLost) {
       deps.crashWatch.lost(spec, choice!.target, attemptProgress(), () => retryOrFinish(failure));
     } else retryOrFinish(failure);
@@ -190,15 +178,7 @@
   /** Ends the attempt as failed; `blamed` is the address of the target at fault. */
   function abandon(reason: string, blamed?: string, details: Partial<AttemptFailure> = {}) {
     if (isOver || !attempt) return;
-    failed({
-      end: 'unknown',
-      reason,
-      isConnectionLost: false,
-      isHeldBack: false,
-      blamed,
-      answer: undefined,
-      ...details,
-    });
+    failed({ ...failureOf('unknown', reason), blamed, ...details });
   }
 
   async function endedUnframed(start: AnswerStart) {
@@ -300,10 +280,8 @@
 
   /** Limits the time of an idempotent call's attempt if another attempt is possible after it. */
   function limitAttemptTime() {
-    if (spec.kind !== 'idempotent' || retryState.ran + 1 >= spec.maxAttempts) return;
-    const attemptTimeoutMs = attemptObjectives * spec.route.objectiveMs;
-    if (attemptTimeoutMs <= 0 || timeLeftMs() < 2 * attemptTimeoutMs) return;
-    cancelTimer = clock.after(attemptTimeoutMs, () => abandon(`no answer within ${attemptTimeoutMs} ms`));
+    const ms = attemptTimeoutMs(spec, retryState.ran, timeLeftMs());
+    if (ms !== undefined) cancelTimer = clock.after(ms, () => abandon(`no answer within ${ms} ms`));
   }
 
   function runAttempt(next: Choice) {
