Refuse in a planned stop, before it is sent, what can't end before the process

Callers here saw: a stream that may not be repeated, begun 0.8 s into a stop of 4 s, cut off though its route's streams take 3 s; calls whose body was complete late, or that a target refused late, passed on and answered 504 (may have run); calls that waited for a slot refused only as the process ended.

Cause: whether a request can end in time was judged once, when its head had arrived, a stream by its arrival alone. A slow body, a queue or a refusal by a target spent the time after that.

Fix: the look is repeated once the body is complete and before each attempt of a request of which its caller has nothing; what waits is refused when the time for sending ends. Streams are judged by how long three in four of their route last, while another entry serves (an estimate for all refused too early when every entry stops at once, docs/design/platform.md), and by their deadline. The refusal is "not run" and says when to come back. What a stop still takes is a module of its own (requests/stopping.ts).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,7 +4,7 @@
 import Emittery from 'emittery';
 import type { Logger } from 'pino';
 import {
-  createRefusal, createServingConfigHolder, SystemClock,
+  createServingConfigHolder, SystemClock,
   type Clock, type RetryLimits,
 } from '@verbenashunt/core';
 import { createBodyReader, drain } from '@verbenashunt/wire';
@@ -24,9 +24,9 @@
 import { createServiceStates } from './requests/service-states.js';
 import type { RequestRun, RequestSpec } from './requests/spec.js';
 import type { StartQueueLimits } from './requests/start-queue.js';
-import {
-  acceptMsAtStop, isTooLate, stopMarginMs, stoppingRetryMs,
-} from './requests/stop-window.js';
+import { acceptMsAtStop, stopMarginMs } from './requests/stop-window.js';
+import { createStopping } from './requests/stopping.js';
+import { createStreamDurations } from './requests/stream-durations.js';
 import { createConfigRows } from './store/config-rows.js';
 import { followTable } from './store/follow.js';
 import { createRowDecoder } from './store/row-decoder.js';
@@ -110,10 +110,8 @@
   const readBody = createBodyReader({ maxBufferedBytes });
   const runs = new Set<RequestRun>();
   const progress = createTargetProgress();
+  const durations = createStreamDurations();
   let options = cfg;
-  let stoppingAt: number | undefined;
-  /** Whether the stop is past the point from which no request can be run. */
-  let isClosing = false;
   /** When the first configuration arrived; Infinity before. */
   let configuredAt = Infinity;
   /** Undefined until the gateway listens. */
@@ -222,6 +220,10 @@
     });
   }
 
+  const stopping = createStopping({
+    clock, random, durations, graceMs: () => options.graceMs, nextEntryMs: lease.nextEntryMs,
+  });
+
   function run(spec: RequestSpec, res: ServerResponse) {
     const sink = createAnswerSink(res, callers, spec.caller.id);
     const requestMetrics = metrics.ofRequest(spec);
@@ -230,10 +232,13 @@
       random,
       log: requestLog,
       progress,
+      durations,
       protocol: ports.targets,
       ...tracking,
       ...serviceStates.of(spec.service.name),
-      isStopping: () => stoppingAt !== undefined,
+      isStopping: () => stopping.isStopping,
+      isTooLateToSend: stopping.isTooLateToSend,
+      stoppingRetryMs: stopping.retryMs,
       ...requestMetrics,
       attemptFailed(end) {
         requestMetrics.attemptFailed(end);
@@ -248,14 +253,6 @@
     });
   }
 
-  /** Tells callers to retry soon if another entry serves, else when the first one is back. */
-  const stoppingRefusal = () => createRefusal('stopping', {
-    retryAfterMs: stoppingRetryMs(lease.nextEntryMs(), options.graceMs, random()),
-  });
-
-  const isStopTooNear = (spec: Omit<RequestSpec, 'body'>) => stoppingAt !== undefined
-    && isTooLate(spec, { startedAt: stoppingAt, graceMs: options.graceMs });
-
   const hasReadAll = () => tracking.crashTable.isRead
     && followers.every(({ isConfirmed }) => isConfirmed);
   const mayServe = () => config.view !== undefined
@@ -269,9 +266,8 @@
     callers,
     readBody,
     view: () => (mayServe() ? config.view : undefined),
-    isStopping: () => stoppingAt !== undefined,
-    refusalWhileStopping: (spec) => (
-      isClosing || isStopTooNear(spec) ? stoppingRefusal() : undefined),
+    isStopping: () => stopping.isStopping,
+    refusalWhileStopping: stopping.refusalOf,
     findPoison: tracking.crashWatch.findPoison,
     run: (...args) => meter.run('request', () => run(...args)),
   });
@@ -280,7 +276,7 @@
     clock.after(releaseTimeoutMs, resolve);
   })]);
 
-  const isReady = () => mayServe() && stoppingAt === undefined;
+  const isReady = () => mayServe() && !stopping.isStopping;
   server = await serveCallers(cfg.front, handle);
   if (config.view) server.apply(config.view.config.limits);
   const probes = [await serveProbe(cfg.readiness, {
@@ -312,19 +308,21 @@
       log.info({ ...changeable(next), needsRestart }, 'settings read again');
     },
     async stop(signal) {
-      stoppingAt = clock.now();
+      const { startedAt: stoppingAt, graceMs } = stopping.start(() => {
+        [...runs].forEach((waiting) => waiting.refuseIfTooLate());
+      });
       log.info({ inFlight: runs.size }, 'stopping');
-      lease.announceStop(options.graceMs);
+      lease.announceStop(graceMs);
       const isComplete = await drain({
         clock,
         minWaitMs: stopNoticeMs,
-        timeoutMs: options.graceMs - stopMarginMs,
+        timeoutMs: graceMs - stopMarginMs,
         signal,
         isIdle: () => server?.active === 0,
       });
-      isClosing = true;
+      stopping.close();
       [...runs].forEach((started) => started.interrupt());
-      await server?.close(acceptMsAtStop(stoppingAt, clock.now(), options.graceMs));
+      await server?.close(acceptMsAtStop(stoppingAt, clock.now(), graceMs));
       // Placement goes on until here, since no other entry can take over before the release.
       controller.close();
       await Promise.all([releaseLease(), drain({
--- a/packages/gateway/src/http/caller-handler.ts
+++ b/packages/gateway/src/http/caller-handler.ts
@@ -53,6 +53,9 @@
     if (refusal) throw refusal;
     const timeLeftMs = Math.max(0, specWithoutBody.expiresAt - deps.clock.now());
     const body = hasBody(req) ? await deps.readBody(req, maxBodyBytes, timeLeftMs) : undefined;
+    // The body may have taken most of the grace time.
+    const lateRefusal = deps.refusalWhileStopping(specWithoutBody);
+    if (lateRefusal) throw lateRefusal;
     const spec = { ...specWithoutBody, body };
     const poison = deps.findPoison(spec);
     if (poison !== undefined) throw createRefusal('quarantined', { detail: poison });
--- a/packages/gateway/src/requests/delivery.ts
+++ b/packages/gateway/src/requests/delivery.ts
@@ -18,6 +18,8 @@
   log: RequestLog;
   selector: Pick<Selector, 'allClosedMs'>;
   startQueue: Pick<StartQueue, 'size' | 'predictWaitMs'>;
+  /** Retry delay in milliseconds of a caller that is refused as the entry stops. */
+  stoppingRetryMs(): number;
 }
 
 /** What served the request: the targets of the last attempt, and the number of attempts. */
@@ -56,6 +58,16 @@
   const timing = createStreamTiming(clock, spec.arrivedAt);
   let writer: AnswerWriter | undefined;
 
+  const retryMsWhenBusy = () => staggeredRetryAfterMs({
+    waitMs: Math.max(
+      deps.selector.allClosedMs(spec.service.name),
+      deps.startQueue.predictWaitMs(queueAccountOf(spec)),
+    ),
+    priority: spec.priority,
+    priorities: spec.priorities,
+    share: deps.random(),
+  });
+
   return {
     get hasStarted() {
       return writer !== undefined;
@@ -123,15 +135,7 @@
         version: spec.version,
         ...queueFieldsOf(spec, deps.startQueue),
       }, 'request refused');
-      const retryAfterMs = staggeredRetryAfterMs({
-        waitMs: Math.max(
-          deps.selector.allClosedMs(spec.service.name),
-          deps.startQueue.predictWaitMs(queueAccountOf(spec)),
-        ),
-        priority: spec.priority,
-        priorities: spec.priorities,
-        share: deps.random(),
-      });
+      const retryAfterMs = code === 'stopping' ? deps.stoppingRetryMs() : retryMsWhenBusy();
       sink.refuse(createRefusal(code, { ran, ...(ran === 'no' ? { retryAfterMs } : {}) }));
     },
   };
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -18,6 +18,7 @@
 import { resumeAfterMs } from './silence.js';
 import { createStarter, type StarterDeps } from './start.js';
 import type { StartQueue } from './start-queue.js';
+import type { StreamDurations } from './stream-durations.js';
 import { watchStream, type StreamWatchDeps } from './stream-watch.js';
 import type {
   AnswerSink, AnswerStart, RequestRun, RequestSpec, WholeAnswer,
@@ -29,6 +30,9 @@
   crashWatch: CrashWatch;
   selector: Selector;
   startQueue: StartQueue;
+  durations: StreamDurations;
+  /** Whether the entry is stopping and a request that is sent now would not end before it. */
+  isTooLateToSend(spec: RequestSpec): boolean;
 }
 
 export function startRun(spec: RequestSpec, sink: AnswerSink, deps: RunDeps): RequestRun {
@@ -171,6 +175,7 @@
 
   function completed(start: AnswerStart) {
     recordSuccess();
+    deps.durations.record(spec.route.name, clock.now() - spec.arrivedAt);
     close('completed');
     delivery.complete(start, { choice: choice!, attempts });
   }
@@ -284,7 +289,15 @@
     if (ms !== undefined) cancelTimer = clock.after(ms, () => abandon(`no answer within ${ms} ms`));
   }
 
+  /** Ends a request of which its caller has nothing yet if the entry stops before it would end. */
+  function endIfTooLate(): boolean {
+    const isEnding = !retryState.delivered && deps.isTooLateToSend(spec);
+    if (isEnding) giveUp('stopping', 'it would not end before the entry');
+    return isEnding;
+  }
+
   function runAttempt(next: Choice) {
+    if (endIfTooLate()) return;
     choice = next;
     attempts += 1;
     sentAt = clock.now();
@@ -324,6 +337,9 @@
       }, 'caller left');
       close('left');
     },
+    refuseIfTooLate() {
+      if (!attempt) endIfTooLate();
+    },
     interrupt: () => giveUp('stopping', 'the entry stopped'),
   };
 }
--- a/packages/gateway/src/requests/stop-window.ts
+++ b/packages/gateway/src/requests/stop-window.ts
@@ -17,15 +17,41 @@
  */
 const streamShare = 0.35;
 
-/** Whether the request is not expected to end before the process does. */
-export function isTooLate(
-  { kind, arrivedAt, expiresAt }: Pick<RequestSpec, 'kind' | 'arrivedAt' | 'expiresAt'>,
-  { startedAt, graceMs }: StopWindow,
+type TimedRequest = Pick<RequestSpec, 'kind' | 'expiresAt'>;
+
+const latestEndOf = ({ startedAt, graceMs }: StopWindow) => startedAt + graceMs - stopMarginMs;
+
+/** Time from which nothing is sent to a target whose deadline lies beyond the grace time. */
+export const lastSendAt = ({ startedAt, graceMs }: StopWindow) => startedAt + streamShare * graceMs;
+
+/**
+ * Whether an accepted request that is sent to a target now is not expected to end before the
+ * process does. `expectedMs` is the expected duration of a stream, in milliseconds.
+ */
+export function isTooLateToSend(
+  { kind, expiresAt }: TimedRequest,
+  now: number,
+  stopWindow: StopWindow,
+  expectedMs: number,
 ): boolean {
-  if (kind === 'stream') return arrivedAt - startedAt > streamShare * graceMs;
-  return expiresAt > startedAt + graceMs - stopMarginMs;
+  const latestEnd = latestEndOf(stopWindow);
+  if (expiresAt <= latestEnd) return false;
+  return now > lastSendAt(stopWindow) || (kind === 'stream' && now + expectedMs > latestEnd);
 }
 
+/**
+ * The same for a request that arrives now. A call is accepted only if its deadline is in time, as
+ * another entry is there for it.
+ */
+export const isTooLate = (
+  req: TimedRequest,
+  now: number,
+  stopWindow: StopWindow,
+  expectedMs: number,
+): boolean => (req.kind === 'stream'
+  ? isTooLateToSend(req, now, stopWindow, expectedMs)
+  : req.expiresAt > latestEndOf(stopWindow));
+
 /** Shortest time limit in milliseconds for accepting connections that wait at the end of a stop. */
 const minAcceptMs = 100;
 /** Longest time limit in milliseconds for accepting them, where the grace time allows it. */
@@ -36,7 +62,7 @@
  * A turn of the event loop accepts one, and turns are slow on a busy VM.
  */
 export const acceptMsAtStop = (startedAt: number, now: number, graceMs: number): number => {
-  const leftMs = startedAt + graceMs - stopMarginMs - now;
+  const leftMs = latestEndOf({ startedAt, graceMs }) - now;
   return Math.min(maxAcceptMs, Math.max(minAcceptMs, leftMs));
 };
 
