Read a kept connection whole before it is closed as idle, and tidy what the new tests share

After a standstill a part of a request on a kept connection no longer counts as none: the time for headers judges it.

--- a/packages/wire/src/http/listener.ts
+++ b/packages/wire/src/http/listener.ts
@@ -88,15 +88,17 @@
 
   /**
    * Closes a socket without progress: the response is not being read, or no request is in progress.
-   * A socket that waits for this server to produce the response is kept.
+   * A socket is kept that waits for this server to produce the response, or on which bytes have
+   * arrived that were not read yet.
    */
   async function closeStalled(socket: Socket) {
     if (socket.writableLength > 0) {
       abortConnection(socket);
       return;
     }
+    const { bytesRead } = socket;
     await afterNextRead();
-    if (!hasPending(socket)) socket.destroy();
+    if (!hasPending(socket) && socket.bytesRead === bytesRead) socket.destroy();
   }
 
   server.setTimeout(limits.streamStallTimeoutMs, closeStalled);
--- a/test/gateway/target-exchanger.test.ts
+++ b/test/gateway/target-exchanger.test.ts
@@ -8,18 +8,9 @@
 import { createTargetExchanger } from '@verbenashunt/gateway';
 import { createPlatformPorts } from '@verbenashunt/platform';
 import type { ExchangeHandler } from '@verbenashunt/wire';
+import { servingTarget } from '../support/serving-target.js';
 
-const asked: ServingTarget = {
-  id: 'asked',
-  service: 'app',
-  address: '127.0.0.1:9',
-  zone: 'zone-a',
-  draining: false,
-  slots: 8,
-  kind: undefined,
-  held: undefined,
-  startedAt: 5,
-};
+const asked = servingTarget('asked');
 /** Has taken over the address. */
 const successor = { ...asked, id: 'successor' };
 const announcing = { 'server-leaving': '1', 'server-limit': '3', 'retry-after': '2' };
--- a/test/serving/targets.test.ts
+++ b/test/serving/targets.test.ts
@@ -1,18 +1,9 @@
 /** The table of targets: one that has said that it is leaving is never used again. */
 import { expect, test } from 'vitest';
 import { createTargetTable, type ServingTarget, type TargetTable } from '@verbenashunt/core';
+import { servingTarget } from '../support/serving-target.js';
 
-const target: ServingTarget = {
-  id: 'a',
-  service: 'app',
-  address: '127.0.0.1:9',
-  zone: 'zone-a',
-  draining: false,
-  slots: 8,
-  kind: undefined,
-  held: undefined,
-  startedAt: 5,
-};
+const target = servingTarget('a');
 const restarted = { ...target, startedAt: 6 };
 
 /** Marks the target without a row; returns whether `listed` is draining once it is listed. */
