Refuse a call of the own mode whose body is complete only after the stop has begun

The look is repeated once the body is complete.

test/frame/late-requests, 'a call whose body is complete only after the stop has begun ...' got 201 on the code before, 503 and "not run" now.

--- a/packages/entry/src/http/callers.ts
+++ b/packages/entry/src/http/callers.ts
@@ -57,10 +57,14 @@
   /** Functions that abort the open requests, for a shutdown that no longer waits for them. */
   const abortHandlers = new Set<() => void>();
 
+  function checkStopping() {
+    if (deps.stopping()) throw createRefusal('stopping');
+  }
+
   function authorize(req: IncomingMessage): AuthorizedRequest {
     const { view } = deps.config;
     if (!view) throw createRefusal('not_ready');
-    if (deps.stopping()) throw createRefusal('stopping');
+    checkStopping();
     const org = view.organisationOf(sha256(bearerKeyOf(req)));
     if (!org) throw createRefusal('unauthorized');
     return { view, org };
@@ -97,6 +101,7 @@
     async chat(req: IncomingMessage, res: ServerResponse) {
       const authorized = authorize(req);
       const chat = parseChat(await readBody(req, deps.maxBodyBytes));
+      checkStopping();
       const found = authorized.view.modelOf(chat.model);
       if (!found) throw createRefusal('not_found', { detail: chat.model });
       checkFleet(authorized, found.fleet);
@@ -149,6 +154,7 @@
       const repeatable = isRepeatable(match.route, method);
       const key = repeatable ? undefined : idempotencyKeyOf(req);
       const body = await readBody(req, deps.maxBodyBytes);
+      checkStopping();
       if (!canRespond(res)) return;
       const id = deps.nextId();
       const startedAt = clock.now();
--- a/test/frame/late-requests.test.ts
+++ b/test/frame/late-requests.test.ts
@@ -63,6 +63,30 @@
   expect(await countRuns(path)).toBe(1);
 });
 
+// Guards against a call that is passed on after its body came late, and cut off with the process.
+test('a call whose body is complete only after the stop has begun is refused as not run', async () => {
+  let ownService = '';
+  const stopping = await startInProcessCluster({}, {}, {
+    serviceUrl(url) {
+      ownService = url;
+      return url;
+    },
+  });
+  const text = head('/payments') + body;
+  const caller = openRaw(stopping.entry.httpPort);
+  caller.write(text.slice(0, -5));
+  await wait(100);
+  const stopped = stopping.stopEntry();
+  await wait(100);
+  caller.write(text.slice(-5));
+  await expect.poll(() => caller.received, { timeout: 2000 }).toMatch(/^HTTP\/1\.1 503 [^]*"ran":"no"/);
+  const res = await request(`${ownService}/_runs`);
+  expect(await res.body.json()).toEqual({ runs: [] });
+  caller.socket.destroy();
+  await stopped;
+  await stopping.stop();
+});
+
 // Guards against a body without a time limit, as Node reports each request as late only once.
 test('a call whose headers arrived during a standstill still has to send its body in time', async () => {
   const path = '/payments?late=rest';
--- a/test/support/in-process.ts
+++ b/test/support/in-process.ts
@@ -63,6 +63,8 @@
   platform: string;
   /** URL of the engine stand-in. */
   engine: string;
+  /** Stops the entry alone; only the first call, by `stop` as well, has an effect. */
+  stopEntry(signal?: AbortSignal): Promise<unknown>;
   stop(): Promise<void>;
 }
 
@@ -100,15 +102,21 @@
     const state = await res.body.json() as { agents?: { state: { serving: boolean } }[] };
     return state.agents?.filter((agent) => agent.state.serving).length === agents.length;
   });
+  let entryStopped: Promise<unknown> | undefined;
+  const stopEntry = (signal?: AbortSignal) => {
+    entryStopped ??= entry.stop(signal);
+    return entryStopped;
+  };
   return {
     entry,
     url,
     peerPort: agents[0].peerPort,
     platform: platformStandIn.url,
     engine: engineStandIn.url,
+    stopEntry,
     async stop() {
       const aborted = AbortSignal.abort();
-      await entry.stop(aborted);
+      await stopEntry(aborted);
       await Promise.all(agents.map((agent) => agent.stop(aborted)));
       await Promise.all([platformStandIn.close(), engineStandIn.close(), serviceStandIn.close()]);
     },
