Look at waiting requests when their time in a stop has come, not a moment before

A real fault of the mend, not of the test: the timer of the last look may fire up to a millisecond early; the call was not too late then, and nobody looked again before the end of the process.

The timer is set again until its time has come, and a request is too late at that time, not only after it. test/gateway/stop-window, 'what waits is too late when it is looked at, though timers fire early', failed before (the clock fires each timer half a millisecond early).

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -26,6 +26,7 @@
 export * from './turns/turn-meter.js';
 export * from './requests/resume-queue.js';
 export * from './requests/stop-window.js';
+export * from './requests/stopping.js';
 export * from './requests/stream-durations.js';
 export * from './requests/progress.js';
 export * from './requests/start-queue.js';
--- a/packages/gateway/src/requests/stop-window.ts
+++ b/packages/gateway/src/requests/stop-window.ts
@@ -36,7 +36,7 @@
 ): boolean {
   const latestEnd = latestEndOf(stopWindow);
   if (expiresAt <= latestEnd) return false;
-  return now > lastSendAt(stopWindow) || (kind === 'stream' && now + expectedMs > latestEnd);
+  return now >= lastSendAt(stopWindow) || (kind === 'stream' && now + expectedMs > latestEnd);
 }
 
 /**
--- a/packages/gateway/src/requests/stopping.ts
+++ b/packages/gateway/src/requests/stopping.ts
@@ -44,6 +44,13 @@
     ? durations.expectedMs(route.name)
     : 0);
 
+  /** Calls back at a time on the clock; a timer may fire up to a millisecond before its time. */
+  function callAt(time: number, callback: () => void) {
+    const waitMs = time - clock.now();
+    if (waitMs <= 0) callback();
+    else cancelLastSend = clock.after(Math.ceil(waitMs), () => callAt(time, callback));
+  }
+
   const applies = (rule: typeof isTooLate, spec: RequestHead) => stopWindow !== undefined
     && rule(spec, clock.now(), stopWindow, expectedMsOf(spec));
 
@@ -55,7 +62,7 @@
     },
     start(onLastSend) {
       stopWindow = { startedAt: clock.now(), graceMs: deps.graceMs() };
-      cancelLastSend = clock.after(lastSendAt(stopWindow) - stopWindow.startedAt, onLastSend);
+      callAt(lastSendAt(stopWindow), onLastSend);
       return stopWindow;
     },
     close() {
--- a/test/gateway/stop-window.test.ts
+++ b/test/gateway/stop-window.test.ts
@@ -1,7 +1,9 @@
 /** Which requests a stopping entry still accepts, and when refused callers should retry. */
 import { expect, test } from 'vitest';
+import { ManualClock } from '@verbenashunt/core';
 import {
-  acceptMsAtStop, createStreamDurations, isTooLate, isTooLateToSend, stoppingRetryMs, stopMarginMs,
+  acceptMsAtStop, createStopping, createStreamDurations, isTooLate, isTooLateToSend,
+  stoppingRetryMs, stopMarginMs,
 } from '@verbenashunt/gateway';
 
 const stopWindow = { startedAt: 1000, graceMs: 8000 };
@@ -20,6 +22,32 @@
   expect(isCallTooLate(latestEnd + 1)).toBe(true);
 });
 
+// Guards against a waiting request that is looked at just before its time, and then never again.
+test('what waits is too late when it is looked at, though timers fire early', () => {
+  const clock = new ManualClock();
+  const early = {
+    now: () => clock.now(),
+    wall: () => clock.wall(),
+    after: (ms: number, callback: () => void) => clock.after(ms - 0.5, callback),
+  };
+  const stopping = createStopping({
+    clock: early,
+    random: () => 0,
+    durations: createStreamDurations(),
+    graceMs: () => stopWindow.graceMs,
+    nextEntryMs: () => 0,
+  });
+  const start = clock.now();
+  let lookedAt = NaN;
+  stopping.start(() => {
+    lookedAt = clock.now();
+  });
+  clock.advance(stopWindow.graceMs);
+  const window = { ...stopWindow, startedAt: start };
+  const waiting = { kind: 'once' as const, expiresAt: Infinity };
+  expect(isTooLateToSend(waiting, lookedAt, window, 0)).toBe(true);
+});
+
 test('an accepted call is sent early in the grace time, and later only if its deadline is in time', () => {
   const isCallTooLate = (afterMs: number, expiresAt: number) => isTooLateToSend(
     { kind: 'once', expiresAt },
