--- a/packages/gateway/src/requests/stop-window.ts
+++ b/packages/gateway/src/requests/stop-window.ts
@@ -11,9 +11,9 @@
 /** Part of the grace time that is reserved for the process to exit, in milliseconds. */
 export const stopMarginMs = 500;
 /**
- * Share of the grace time in which new streams are accepted. New connections keep arriving until
- * the load balancer notices that this entry is not ready. The duration of a stream is not known in
- * advance; with the longest deadlines of callers it takes most of the grace time.
+ * Share of the grace time in which requests are sent whose deadlines lie beyond it. New connections
+ * keep arriving until the load balancer notices that this entry is not ready. With the longest
+ * deadlines of callers, a stream takes most of the grace time.
  */
 const streamShare = 0.35;
 
