Pass on the error of a target when it is too late in a planned stop to try again

Callers of a stopping entry got 504 ("may have run") although a target had answered: looks, before each attempt, whether a request can still end before the process, and gave a call up that came to its retry too late, together with the error that its target had sent completely. The retry was taken from the budget as well, though it was never sent.

Cause: the look came after the decision to retry, where the failed attempt is no longer known. Now it is made first where a target's answer is at hand, and that answer is what the caller gets. Requests without one are refused as before.

--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -62,6 +62,8 @@
   let sentAt = spec.arrivedAt;
 
   const timeLeftMs = () => spec.expiresAt - clock.now();
+  /** Whether the caller has nothing yet and the entry stops before another attempt would end. */
+  const isTooLate = () => !retryState.delivered && deps.isTooLateToSend(spec);
   const attemptProgress = () => ({ sentAt, hasBegun: progress?.hasStarted ?? false });
 
   function endAttempt() {
@@ -118,7 +120,9 @@
   function retryOrFinish(failure: AttemptFailure) {
     if (isOver || ending.endIfPoison()) return;
     const { end: attemptEnd } = failure;
-    const shouldRetry = nextStep(spec, retryState, attemptEnd, true).do === 'try';
+    // The answer of a target is of more use to its caller than the refusal of a late retry.
+    const isAnswerLast = failure.answer !== undefined && isTooLate();
+    const shouldRetry = !isAnswerLast && nextStep(spec, retryState, attemptEnd, true).do === 'try';
     // A stream that may be whole does not wait for retry budget.
     const canRetry = shouldRetry && (attemptEnd !== 'unsettled' || retries.pay());
     // The caller keeps the part that it has received, so the stream may wait for a new chain.
@@ -289,11 +293,10 @@
     if (ms !== undefined) cancelTimer = clock.after(ms, () => abandon(`no answer within ${ms} ms`));
   }
 
-  /** Ends a request of which its caller has nothing yet if the entry stops before it would end. */
   function endIfTooLate(): boolean {
-    const isEnding = !retryState.delivered && deps.isTooLateToSend(spec);
-    if (isEnding) giveUp('stopping', 'it would not end before the entry');
-    return isEnding;
+    if (!isTooLate()) return false;
+    giveUp('stopping', 'it would not end before the entry');
+    return true;
   }
 
   function runAttempt(next: Choice) {
--- a/test/gateway/late-in-grace.test.ts
+++ b/test/gateway/late-in-grace.test.ts
@@ -141,6 +141,20 @@
   expect(first!.arrivals + second!.arrivals).toBe(1);
 });
 
+// Guards against a refusal in place of an answer that a target has given, as a retry is too late.
+test('the error of a target is passed on when it is too late in the grace time to try again', async () => {
+  await start({ apps: 2 });
+  fixture.apps.forEach((app) => Object.assign(app, { behaviour: 'fail', answerMs: lastSendMs + 600 }));
+  const pending = fixture.call({ headers });
+  const countArrivals = () => fixture.apps.reduce((sum, { arrivals }) => sum + arrivals, 0);
+  await expect.poll(countArrivals).toBe(1);
+  stopped = fixture.gateway.stop();
+  const answer = await pending;
+  expect(answer).toMatchObject({ status: 500, isComplete: true });
+  expect(answer.headers['server-stamp']).toMatch(/^stamp\.app-/);
+  expect(countArrivals()).toBe(1);
+});
+
 test('a call on a kept connection is served while its deadline is before the end of the stop', async () => {
   await start();
   const caller = openRaw(fixture.gateway.ports.front);
