Answer the requests before what could not be parsed or came late, instead of cutting them off

Callers saw: a request that a target was running, or that had just been read, ended with its connection and no answer, as soon as bytes that are no request followed it on the connection, or a part of another request that did not end in time. For one that may not be repeated its caller can't know whether the work was done (LOST).

Cause: a refusal written then would pass for the answer that is due, so the listener closed the connection instead. Now it drops what follows and ends the connection after that answer, with no refusal. Ruled out: that the parser ends the connection by itself.

--- a/packages/wire/src/http/client-errors.ts
+++ b/packages/wire/src/http/client-errors.ts
@@ -52,17 +52,31 @@
 }
 
 /**
- * Refuses what could not be parsed or is late. While an earlier request on the connection waits for
- * its answer, the connection is closed instead, as the refusal would be taken for that answer.
- * Nothing that is sent after a refusal is parsed, as "not run" must stay true.
+ * Closes a connection once the requests that arrived on it are answered. What came after them gets
+ * no response, as its client would take it for one of those answers.
  */
-function refuse(err: NodeJS.ErrnoException, socket: Socket, { pending }: ConnectionState) {
-  if (err.code === 'ECONNRESET' || !socket.writable || [...pending].some(isAwaited)) {
-    socket.destroy();
-    return;
-  }
+function closeAfterAnswers(socket: Socket, { pending }: ConnectionState) {
   discardInput(socket);
-  sendRefusal(refusalCodeOf(err), socket);
+  const last = [...pending].at(-1)!;
+  last.shouldKeepAlive = false;
+  // If its headers have been sent, only this closes the connection.
+  last.once('close', () => socket.destroySoon());
+}
+
+/**
+ * Refuses what could not be parsed or is late; while an earlier request on the connection waits for
+ * its answer, this only ends the connection after it. Nothing that is sent after a refusal is
+ * parsed, as "not run" must stay true.
+ */
+function refuse(err: NodeJS.ErrnoException, socket: Socket, state: ConnectionState) {
+  const isAnswerDue = [...state.pending].some(isAwaited);
+  const hasLeft = err.code === 'ECONNRESET' || !socket.writable || (isAnswerDue && socket.readableEnded);
+  if (hasLeft) socket.destroy();
+  else if (isAnswerDue) closeAfterAnswers(socket, state);
+  else {
+    discardInput(socket);
+    sendRefusal(refusalCodeOf(err), socket);
+  }
 }
 
 /**
--- a/test/gateway/late-requests.test.ts
+++ b/test/gateway/late-requests.test.ts
@@ -90,3 +90,28 @@
   await wait(100);
   expect(ranIds()).toEqual([]);
 });
+
+// Guards against cutting off a request that a target is running, for what its caller sent after it.
+test.each([
+  ['bytes that are no request', 'no request\r\n\r\n'],
+  ['a request whose headers never end', halves(requestText('late'))[0]],
+  ['a whole request and bytes that are none', `${requestText('second')}no request\r\n\r\n`],
+])('a request that runs is answered when it is followed by %s', async (_, text) => {
+  const caller = await start();
+  fixture.apps[0]!.answerMs = judgedMs;
+  caller.write(requestText('first') + text);
+  await expect.poll(() => caller.isEnded, { timeout: 3 * judgedMs }).toBe(true);
+  const answers = caller.received.match(/HTTP\/1\.1 \d+ /g);
+  expect(answers).toEqual(ranIds().map(() => 'HTTP/1.1 200 '));
+  expect(ranIds()[0]).toBe('first');
+});
+
+// Guards against work for a caller that has left, once its connection is no longer parsed.
+test('a request followed by bytes that are none is cancelled when its caller leaves', async () => {
+  const caller = await start();
+  fixture.apps[0]!.behaviour = 'silent';
+  caller.write(`${requestText('first')}no request\r\n\r\n`);
+  await expect.poll(ranIds).toEqual(['first']);
+  caller.socket.destroy();
+  await expect.poll(() => fixture.apps[0]!.ran[0]!.isAborted, { timeout: 500 }).toBe(true);
+});
