Give waits, standstills and repetitions of tests a module of their own

The same wait stood in fourteen test files, and the soak of stream ends repeated steps by a function that the soak of late requests needs as well. No test changes what it checks.

--- a/test/frame/late-requests.test.ts
+++ b/test/frame/late-requests.test.ts
@@ -4,7 +4,8 @@
 } from 'vitest';
 import { request } from 'undici';
 import { callerKey, startInProcessCluster, type InProcessCluster } from '../support/in-process.js';
-import { blockLoop, openRaw, wait } from '../support/raw-connection.js';
+import { openRaw } from '../support/raw-connection.js';
+import { blockLoop, wait } from '../support/timing.js';
 
 const bodyTimeoutMs = 600;
 /** Time until the listener has checked for late requests. */
--- a/test/gateway/announcements.test.ts
+++ b/test/gateway/announcements.test.ts
@@ -4,14 +4,12 @@
 } from 'vitest';
 import type { TargetStandIn } from '@verbenashunt/platform/stand-in';
 import { startGatewayFixture, type GatewayFixture } from '../support/gateway-fixture.js';
+import { wait } from '../support/timing.js';
 
 let fixture: GatewayFixture;
 
 afterEach(() => fixture.close());
 
-const wait = (ms: number) => new Promise((resolve) => {
-  setTimeout(resolve, ms);
-});
 const callTimes = async (count: number) => (await Promise.all(
   Array.from({ length: count }, () => fixture.call()),
 )).map(({ status }) => status);
--- a/test/gateway/change-delay-soak.test.ts
+++ b/test/gateway/change-delay-soak.test.ts
@@ -5,6 +5,7 @@
 import { afterEach, expect, test } from 'vitest';
 import { createRandom } from '@verbenashunt/stand-ins';
 import { appliedAt, startProxiedZone, type ProxiedZone } from '../support/proxied-zone.js';
+import { wait } from '../support/timing.js';
 
 interface Bounds {
   /** Time in milliseconds within which a change must take hold. */
@@ -32,10 +33,6 @@
   await Promise.all(zones.splice(0).map((zone) => zone.close()));
 });
 
-const wait = (ms: number) => new Promise((resolve) => {
-  setTimeout(resolve, ms);
-});
-
 /** Times between which an entry, or the store, was disturbed. */
 interface Disturbance {
   from: number;
--- a/test/gateway/change-delay.test.ts
+++ b/test/gateway/change-delay.test.ts
@@ -9,6 +9,7 @@
 import { createPlatformPorts } from '@verbenashunt/platform';
 import type { StoreStandIn } from '@verbenashunt/platform/stand-in';
 import { appliedAt, startProxiedZone, type ProxiedZone } from '../support/proxied-zone.js';
+import { wait } from '../support/timing.js';
 
 /** Time in milliseconds within which a change must take hold. */
 const changeBoundMs = 3000;
@@ -28,10 +29,6 @@
   await Promise.all(zones.splice(0).map((zone) => zone.close()));
 });
 
-const wait = (ms: number) => new Promise((resolve) => {
-  setTimeout(resolve, ms);
-});
-
 async function startZone() {
   const zone = await startProxiedZone({ size, maxAgeMs });
   zones.push(zone);
--- a/test/gateway/connections.test.ts
+++ b/test/gateway/connections.test.ts
@@ -7,6 +7,7 @@
 import { createPlatformPorts } from '@verbenashunt/platform';
 import { operatorConfig } from '@verbenashunt/platform/stand-in';
 import { startGatewayFixture, type GatewayFixture, type GatewayFixtureOptions } from '../support/gateway-fixture.js';
+import { wait } from '../support/timing.js';
 
 const cleanups: (() => unknown)[] = [];
 
@@ -19,10 +20,6 @@
   cleanups.push(fixture.close);
   return fixture;
 }
-
-const wait = (ms: number) => new Promise((resolve) => {
-  setTimeout(resolve, ms);
-});
 const idOf = (request: string) => /request-id: (\S+)/i.exec(request)?.[1] ?? 'none';
 
 interface RawTarget {
--- a/test/gateway/crashing-parts.test.ts
+++ b/test/gateway/crashing-parts.test.ts
@@ -6,6 +6,7 @@
   callGateway, startGateway, startGatewayFixture, streamHeaders, type CallerAnswer,
   type GatewayFixture,
 } from '../support/gateway-fixture.js';
+import { wait } from '../support/timing.js';
 
 /** Time in milliseconds, a bound of the settings, within which all entries know of a crash. */
 const contactMs = 3000;
@@ -21,10 +22,6 @@
 const gateways: Gateway[] = [];
 const targets: TargetStandIn[] = [];
 
-const wait = (ms: number) => new Promise((resolve) => {
-  setTimeout(resolve, ms);
-});
-
 afterEach(async () => {
   isOver = true;
   await Promise.all(gateways.splice(0).map((gateway) => gateway.stop(AbortSignal.abort())));
--- a/test/gateway/late-in-grace.test.ts
+++ b/test/gateway/late-in-grace.test.ts
@@ -5,7 +5,8 @@
 import {
   startGateway, startGatewayFixture, type GatewayFixture, type GatewayFixtureOptions,
 } from '../support/gateway-fixture.js';
-import { openRaw, wait } from '../support/raw-connection.js';
+import { openRaw } from '../support/raw-connection.js';
+import { wait } from '../support/timing.js';
 
 const graceMs = 4000;
 /** Time from the stop after which nothing is sent whose deadline lies beyond the grace time. */
--- a/test/gateway/late-requests.test.ts
+++ b/test/gateway/late-requests.test.ts
@@ -2,7 +2,8 @@
 import { afterEach, expect, test } from 'vitest';
 import { operatorConfig } from '@verbenashunt/platform/stand-in';
 import { startGatewayFixture, type GatewayFixture } from '../support/gateway-fixture.js';
-import { blockLoop, openRaw, wait } from '../support/raw-connection.js';
+import { openRaw } from '../support/raw-connection.js';
+import { blockLoop, wait } from '../support/timing.js';
 
 const headerTimeoutMs = 400;
 const limits = { ...operatorConfig(1).limits, headerTimeoutMs };
--- a/test/gateway/load-sharing.test.ts
+++ b/test/gateway/load-sharing.test.ts
@@ -6,15 +6,12 @@
 import {
   callGateway, startGateway, startGatewayFixture, type GatewayFixture,
 } from '../support/gateway-fixture.js';
+import { wait } from '../support/timing.js';
 
 const relay = { host: '127.0.0.1', port: 0 };
 let fixture: GatewayFixture;
 const others: Gateway[] = [];
 
-const wait = (ms: number) => new Promise((resolve) => {
-  setTimeout(resolve, ms);
-});
-
 afterEach(async () => {
   await Promise.all(others.splice(0).map((gateway) => gateway.stop(AbortSignal.abort())));
   await fixture.close();
--- a/test/gateway/odd-rows.test.ts
+++ b/test/gateway/odd-rows.test.ts
@@ -4,6 +4,7 @@
 } from 'vitest';
 import { operatorConfig } from '@verbenashunt/platform/stand-in';
 import { startGatewayFixture, type GatewayFixture } from '../support/gateway-fixture.js';
+import { wait } from '../support/timing.js';
 
 let fixture: GatewayFixture;
 
@@ -17,10 +18,6 @@
 const nested = `${'['.repeat(depth)}${']'.repeat(depth)}`;
 const nestedObjects = `${'{"a":'.repeat(depth / 2)}1${'}'.repeat(depth / 2)}`;
 
-const wait = (ms: number) => new Promise((resolve) => {
-  setTimeout(resolve, ms);
-});
-
 /** Requests are served, and changes of targets and of the configuration still arrive. */
 async function expectFollowed() {
   const {
--- a/test/gateway/relay.test.ts
+++ b/test/gateway/relay.test.ts
@@ -14,6 +14,7 @@
 import { createPlatformPorts } from '@verbenashunt/platform';
 import { startStore, type StoreStandIn } from '@verbenashunt/platform/stand-in';
 import { createExchanger } from '@verbenashunt/wire';
+import { wait } from '../support/timing.js';
 
 const log = pino({ level: 'silent' });
 /** Age in milliseconds at which the entries ask the store itself. */
@@ -218,10 +219,6 @@
     return member;
   }));
 }
-
-const wait = (ms: number) => new Promise((resolve) => {
-  setTimeout(resolve, ms);
-});
 const expectSeen = (members: readonly Member[], value: string) => vi.waitFor(
   () => expect(members.map(({ seen }) => seen.at(-1)?.value)).toEqual(members.map(() => value)),
   { timeout: 10_000, interval: 10 },
--- a/test/gateway/slow-streams.test.ts
+++ b/test/gateway/slow-streams.test.ts
@@ -4,6 +4,7 @@
 import { afterEach, expect, test } from 'vitest';
 import { eventText } from '@verbenashunt/platform/stand-in';
 import { startGatewayFixture, type GatewayFixture } from '../support/gateway-fixture.js';
+import { wait } from '../support/timing.js';
 
 const cleanups: (() => unknown)[] = [];
 
@@ -17,10 +18,6 @@
   return fixture;
 }
 
-const wait = (ms: number) => new Promise((resolve) => {
-  setTimeout(resolve, ms);
-});
-
 interface SlowEngine {
   /** Sends the body of a stream after its head. */
   stream(res: ServerResponse): void;
--- a/test/gateway/stopping.test.ts
+++ b/test/gateway/stopping.test.ts
@@ -4,15 +4,12 @@
 import { afterEach, expect, test } from 'vitest';
 import { startGatewayFixture, type GatewayFixture } from '../support/gateway-fixture.js';
 import { startSteadyCallers } from '../support/steady-callers.js';
+import { wait } from '../support/timing.js';
 
 let fixture: GatewayFixture;
 
 afterEach(() => fixture.close());
 
-const wait = (ms: number) => new Promise((resolve) => {
-  setTimeout(resolve, ms);
-});
-
 test.each([false, true])('20 connections that keep sending get an answer to each request during a stop; the store is unavailable: %s', async (isStoreAway) => {
   fixture = await startGatewayFixture({ apps: 2, pool: [[0, 8]] });
   const { gateway, store } = fixture;
--- a/test/gateway/stream-ends-soak.test.ts
+++ b/test/gateway/stream-ends-soak.test.ts
@@ -10,6 +10,7 @@
   startGateway, startGatewayFixture, streamHeaders, type GatewayFixture,
 } from '../support/gateway-fixture.js';
 import { callRaw, type RawAnswer } from '../support/raw-caller.js';
+import { repeatUntil, wait } from '../support/timing.js';
 
 const seedCount = Number(process.env.SOAK_SEEDS ?? 2);
 const seeds = Array.from({ length: seedCount }, (_, i) => i + 1);
@@ -41,18 +42,6 @@
   await fixture.close();
 });
 
-const wait = (ms: number) => new Promise((resolve) => {
-  setTimeout(resolve, ms);
-});
-
-/** Repeats a step, with a pause before each, until a time. */
-async function repeatUntil(endsAt: number, pauseMs: () => number, step: () => unknown) {
-  await wait(pauseMs());
-  if (performance.now() > endsAt) return;
-  await step();
-  await repeatUntil(endsAt, pauseMs, step);
-}
-
 /** Only the first engine ends streams too soon in order: two of them would agree on a wrong end. */
 function changeBehaviour(random: () => number) {
   const index = Math.floor(random() * fixture.pool.length);
--- a/test/gateway/target-limits.test.ts
+++ b/test/gateway/target-limits.test.ts
@@ -6,6 +6,7 @@
   callGateway, startGateway, startGatewayFixture, streamHeaders, type CallerAnswer,
   type GatewayFixture, type GatewayFixtureOptions,
 } from '../support/gateway-fixture.js';
+import { wait } from '../support/timing.js';
 
 /** Time in milliseconds, a bound of the settings, from which on the limits bind. */
 const contactMs = 3000;
@@ -20,10 +21,6 @@
 let fixture: GatewayFixture;
 const gateways: Gateway[] = [];
 
-const wait = (ms: number) => new Promise((resolve) => {
-  setTimeout(resolve, ms);
-});
-
 afterEach(async () => {
   await Promise.all(gateways.splice(0).map((gateway) => gateway.stop(AbortSignal.abort())));
   await fixture.close();
--- a/test/gateway/waiting.test.ts
+++ b/test/gateway/waiting.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, expect, test } from 'vitest';
 import { operatorConfig } from '@verbenashunt/platform/stand-in';
 import { startGatewayFixture, type GatewayFixture, type GatewayFixtureOptions } from '../support/gateway-fixture.js';
+import { wait } from '../support/timing.js';
 
 let fixture: GatewayFixture;
 
@@ -19,10 +20,6 @@
 
 afterEach(() => fixture.close());
 
-const wait = (ms: number) => new Promise((resolve) => {
-  setTimeout(resolve, ms);
-});
-
 /** Slots that the stand-in states for each target. */
 const slots = 8;
 const write = { method: 'POST', path: '/write/a', body: 'order' };
--- a/test/platform/older-read.test.ts
+++ b/test/platform/older-read.test.ts
@@ -5,6 +5,7 @@
 import {
   callGateway, startGateway, startGatewayFixture, type GatewayFixture,
 } from '../support/gateway-fixture.js';
+import { wait } from '../support/timing.js';
 
 let fixture: GatewayFixture;
 let gateway: Gateway;
@@ -14,10 +15,6 @@
   await fixture.close();
 });
 
-const wait = (ms: number) => new Promise((resolve) => {
-  setTimeout(resolve, ms);
-});
-
 test('neither a target that left nor a key that was revoked is in use again after a restart', async () => {
   fixture = await startGatewayFixture({ apps: 2 });
   const { store, apps } = fixture;
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -14,8 +14,8 @@
 import { bundle } from '../../scripts/bundle.mjs';
 import { callGateway, streamHeaders } from '../support/gateway-fixture.js';
 import { callRaw } from '../support/raw-caller.js';
-import { wait } from '../support/raw-connection.js';
 import { startSteadyCallers } from '../support/steady-callers.js';
+import { wait } from '../support/timing.js';
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
 let dir: string;
--- a/test/support/raw-connection.ts
+++ b/test/support/raw-connection.ts
@@ -34,13 +34,3 @@
     write: (text) => socket.write(text, 'latin1'),
   };
 }
-
-export const wait = (ms: number) => new Promise((resolve) => {
-  setTimeout(resolve, ms);
-});
-
-/** Blocks the event loop, as a freeze does; sockets fill and timers become due meanwhile. */
-export function blockLoop(ms: number) {
-  const until = performance.now() + ms;
-  while (performance.now() < until);
-}
