--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -1,86 +1,29 @@
 /** The bundled gateway process as the platform runs it, with a settings file and signals. */
-import { spawn, type ChildProcess } from 'node:child_process';
-import { mkdtemp, rm, writeFile } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
+import { spawn } from 'node:child_process';
+import { writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
-import { fileURLToPath } from 'node:url';
 import {
   afterAll, beforeAll, expect, test,
 } from 'vitest';
 import {
   operatorConfig, startStore, startTarget, type StoreStandIn, type TargetStandIn,
 } from '@verbenashunt/platform/stand-in';
-import { freePort } from '@verbenashunt/stand-ins';
-import { bundle } from '../../scripts/bundle.mjs';
 import { callGateway, streamHeaders } from '../support/gateway-fixture.js';
+import {
+  buildGatewayProgram, expectReadiness, readinessStatus, rewriteSettings, type GatewayProgram,
+} from '../support/gateway-process.js';
 import { callRaw } from '../support/raw-caller.js';
 import { startSteadyCallers } from '../support/steady-callers.js';
 import { wait } from '../support/timing.js';
 
-const root = fileURLToPath(new URL('../..', import.meta.url));
-let dir: string;
+let program: GatewayProgram;
 let store: StoreStandIn;
 let engine: TargetStandIn;
 
-const settingsText = (frontPort: number, readinessPort: number, graceS = 3) => `
-node = "entry-1"
-zone = "zone-a"
-region = "region"
-ip = "127.0.0.1"
-unknown = "left alone"
-[listen]
-front = "127.0.0.1:${frontPort}"
-readyAddr = "127.0.0.1:${readinessPort}"
-[bounds]
-drainMs = 2000
-graceS = ${graceS}
-configApplyMs = 2000
-retryBudgetRatio = 0.2
-budgetWindowS = 10
-budgetExtra = 100
-[platform]
-address = "${store.address}"
-`;
-
-interface GatewayProcess {
-  child: ChildProcess;
-  frontPort: number;
-  readinessPort: number;
-  settingsFile: string;
-  output(): string;
-  exit: Promise<number | null>;
-}
-
-async function startGatewayProcess(): Promise<GatewayProcess> {
-  const [frontPort, readinessPort] = [await freePort(), await freePort()];
-  const settingsFile = join(dir, `settings-${frontPort}.toml`);
-  await writeFile(settingsFile, settingsText(frontPort, readinessPort));
-  const child = spawn(process.execPath, [join(dir, 'daemon.mjs')], {
-    cwd: root, env: { VERBENASHUNT_BOOT: settingsFile }, stdio: ['ignore', 'pipe', 'pipe'],
-  });
-  let output = '';
-  [child.stdout, child.stderr].forEach((stream) => stream.on('data', (text) => {
-    output += text;
-  }));
-  return {
-    child,
-    frontPort,
-    readinessPort,
-    settingsFile,
-    output: () => output,
-    exit: new Promise((resolve) => {
-      child.once('exit', resolve);
-    }),
-  };
-}
-
-const readinessStatus = async (port: number) => (await callGateway(port, { path: '/api/readiness' })).status;
-const expectReadiness = (gateway: GatewayProcess) => expect
-  .poll(() => readinessStatus(gateway.readinessPort), { timeout: 10_000 });
+const startGatewayProcess = () => program.start(store.address);
 
 beforeAll(async () => {
-  dir = await mkdtemp(join(tmpdir(), 'verbenashunt-daemon-'));
-  await bundle(join(dir, 'daemon.mjs'));
+  program = await buildGatewayProgram();
   store = await startStore();
   engine = Object.assign(await startTarget({
     id: 'engine', kind: 'card', events: 60, eventMs: 20,
@@ -90,7 +33,7 @@
 
 afterAll(async () => {
   await Promise.all([store.close(), engine.close()]);
-  await rm(dir, { recursive: true });
+  await program.remove();
 });
 
 test('is not ready without a configuration; SIGTERM completes running requests before the exit', async () => {
@@ -114,13 +57,13 @@
 test('SIGHUP reloads the settings; invalid ones leave the previous ones in force', async () => {
   const gateway = await startGatewayProcess();
   await expectReadiness(gateway).toBe(200);
-  await writeFile(gateway.settingsFile, settingsText(gateway.frontPort, gateway.readinessPort, 2));
+  await rewriteSettings(gateway, store.address, { graceS: 2 });
   gateway.child.kill('SIGHUP');
   await expect.poll(gateway.output).toContain('"graceMs":2000');
   await writeFile(gateway.settingsFile, 'node = ');
   gateway.child.kill('SIGHUP');
   await expect.poll(gateway.output).toContain('settings not read again');
-  expect(await readinessStatus(gateway.readinessPort)).toBe(200);
+  expect(await readinessStatus(gateway)).toBe(200);
   gateway.child.kill('SIGTERM');
   expect(await gateway.exit).toBe(0);
 });
@@ -182,9 +125,9 @@
 });
 
 test('invalid settings at the start: one line on stderr and exit code 2', async () => {
-  const file = join(dir, 'faulty.toml');
+  const file = join(program.dir, 'faulty.toml');
   await writeFile(file, 'node = "a"');
-  const child = spawn(process.execPath, [join(dir, 'daemon.mjs')], { env: { VERBENASHUNT_BOOT: file } });
+  const child = spawn(process.execPath, [program.bundleFile], { env: { VERBENASHUNT_BOOT: file } });
   let output = '';
   child.stderr.on('data', (text) => {
     output += text;
