--- a/review/lib-2/config.mjs
+++ b/review/lib-2/config.mjs
@@ -55,3 +55,28 @@
   },
   tenants: [{ name: 'club', apiKeys: [key] }],
 };
+
+/** The same with a second fleet: another model service, on a route of its own. */
+export const twoFleetsConfig = {
+  ...operatorConfig,
+  routes: [
+    ...operatorConfig.routes,
+    {
+      ...operatorConfig.routes[0], name: 'compare', prefix: '/compare/', service: 'llm-pool-2',
+    },
+  ],
+  services: [
+    ...operatorConfig.services,
+    { ...operatorConfig.services[0], name: 'llm-pool-2' },
+  ],
+};
+
+/** A model of 80 layers and 80,000 MB, for 20 cards and more in one zone. */
+export const longModelLayers = 80;
+
+export const longModelConfig = {
+  ...operatorConfig,
+  services: operatorConfig.services.map((service) => (service.engine
+    ? { ...service, engine: { ...service.engine, layers: longModelLayers } }
+    : service)),
+};
