--- a/review/lib-2/config.mjs
+++ b/review/lib-2/config.mjs
@@ -80,3 +80,27 @@
     ? { ...service, engine: { ...service.engine, layers: longModelLayers } }
     : service)),
 };
+
+export const largeCard = 'large-card';
+export const smallCard = 'small-card';
+
+/** The same model on cards that hold three of its layers, or one, with room for requests. */
+export const mixedCardsConfig = {
+  ...longModelConfig,
+  services: longModelConfig.services.map((service) => (service.engine
+    ? {
+      ...service,
+      engine: {
+        ...service.engine,
+        kinds: [
+          {
+            name: largeCard, sizeMb: 4000, pace: 3.1, readFactor: 3.2,
+          },
+          {
+            name: smallCard, sizeMb: 2000, pace: 3.1, readFactor: 3.2,
+          },
+        ],
+      },
+    }
+    : service)),
+};
--- a/review/lib-2/servers.mjs
+++ b/review/lib-2/servers.mjs
@@ -8,7 +8,10 @@
 const statusAccepted = 202;
 const statusConflict = 409;
 const statusFenced = 412;
+const statusBadRequest = 400;
 const statusMisdirected = 421;
+/** Most parts of a path. */
+const maxParts = 32;
 const statusUnavailable = 503;
 const statusNotFound = 404;
 /** Silent heartbeats after which the store removes an entry. */
@@ -127,7 +130,14 @@
 
   async function stream(req, res) {
     // eslint-disable-next-line no-use-before-define -- set before any request
-    const wrong = parseHops(req.headers['hop-count'], address, layers).find((hop) => {
+    const hops = parseHops(req.headers['hop-count'], address, layers);
+    if (hops.length > maxParts) {
+      const text = `${hops.length} parts`;
+      res.writeHead(statusBadRequest, { ...stampOf(req, id), 'Content-Length': text.length });
+      res.end(text);
+      return;
+    }
+    const wrong = hops.find((hop) => {
       const range = heldByAddress.get(hop.address);
       return range === undefined || hop.from < range.from || hop.to > range.to;
     });
@@ -174,6 +184,9 @@
   }));
   return {
     id,
+    get held() {
+      return held;
+    },
     /** Number of streams that it runs as their first server. */
     get active() {
       return active;
