--- a/review/lib-2/servers.mjs
+++ b/review/lib-2/servers.mjs
@@ -200,9 +200,12 @@
   };
 }
 
-/** An application server that answers each request after `workMs`. */
+/**
+ * An application server that answers each request after `workMs`; with `answerBytes`, with so many
+ * bytes and without a length or chunks, so that the answer ends with its connection.
+ */
 export async function startAppServer(store, {
-  id, service, workMs, runs,
+  id, service, workMs, answerBytes = 0, runs,
 }) {
   const born = Date.now();
 
@@ -225,6 +228,12 @@
     await sleep(workMs);
     const text = `answer to ${req.method} ${req.url} ${body}`;
     if (res.destroyed) return;
+    if (answerBytes > 0) {
+      res.shouldKeepAlive = false;
+      res.useChunkedEncodingByDefault = false;
+      res.writeHead(statusOk, stampOf(req, id)).end(Buffer.alloc(answerBytes, 'a'));
+      return;
+    }
     res.writeHead(statusOk, { ...stampOf(req, id), 'Content-Length': text.length }).end(text);
   }
 
