--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -20,13 +20,29 @@
 /** Bounds of the settings that the checks need. */
 export const bounds = { recoveryS: 12, contactMs: 3000 };
 
-export async function freePort() {
-  const server = createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port } = server.address();
-  server.close();
-  await once(server, 'close');
-  return port;
+/** Range of the ports that are listened on, below those that the system gives to connections. */
+const firstPort = 10_000;
+const portCount = 5000;
+const portTries = 50;
+
+/** Whether all of `count` ports from the first one on can be listened on. */
+async function areFree(port, count) {
+  const servers = Array.from({ length: count }, (_, i) => createServer().listen(port + i, '127.0.0.1'));
+  const results = await Promise.all(servers.map((server) => Promise.race([
+    once(server, 'listening').then(() => true), once(server, 'error').then(() => false, () => false),
+  ]).catch(() => false)));
+  await Promise.all(servers.map((server) => new Promise((resolve) => {
+    server.close(resolve);
+  })));
+  return results.every(Boolean);
+}
+
+/** Finds `count` free ports in a row and returns the first one. */
+export async function freePorts(count = 1, triesLeft = portTries) {
+  const port = firstPort + Math.floor(Math.random() * portCount);
+  if (await areFree(port, count)) return port;
+  if (triesLeft === 0) throw new Error('no free port');
+  return freePorts(count, triesLeft - 1);
 }
 
 /** Program and arguments of the only role of the deploy file. */
@@ -107,23 +123,12 @@
   }).on('error', () => resolve(0));
 });
 
-/** Two free ports in a row. */
-async function freePortPair(triesLeft = 20) {
-  const first = await freePort();
-  const server = createServer().listen(first + 1, '127.0.0.1');
-  const isFree = await Promise.race([
-    once(server, 'listening').then(() => true), once(server, 'error').then(() => false),
-  ]).catch(() => false);
-  server.close();
-  return isFree || triesLeft === 0 ? first : freePortPair(triesLeft - 1);
-}
-
 /** A gateway that can be killed and started again with the same settings. */
 export async function createGateway(store, node) {
   const dir = await mkdtemp(join(tmpdir(), 'review-'));
   const settingsFile = join(dir, 'settings.toml');
-  const [frontPort, readyPort] = [await freePort(), await freePort()];
-  const internalPort = await freePortPair();
+  const [frontPort, readyPort] = [await freePorts(), await freePorts()];
+  const internalPort = await freePorts(2);
   await writeFile(settingsFile, settingsText({
     node, frontPort, readyPort, internalPort, storeAddress: store.address,
   }));
