--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -15,8 +15,8 @@
 const isTroubled = process.env.TROUBLE !== '0';
 const largeServers = 28;
 /** Empty servers that are added while the others serve, first small ones, then some of both. */
-const addedSmall = 8;
-const addedLater = { large: 2, small: 1 };
+const addedSmall = 7;
+const addedLater = { large: 2, small: 2 };
 /** Servers that are lost for good; with LOST=2 the path stays short enough, for comparison. */
 const lostServers = Number(process.env.LOST ?? 3);
 const folder = new URL('.', import.meta.url);
@@ -26,7 +26,7 @@
 /** Time of steady service before the servers are added, and after it. */
 const calmMs = 5000;
 /** Time after the kill at which the processes of the system start again. */
-const restartMs = 1400;
+const restartMs = 1300;
 const recoveryMs = bounds.recoveryS * 1000;
 /** Time after `recoveryS` in which requests count. */
 const countedMs = 15_000;
--- a/review/lib-2/config.mjs
+++ b/review/lib-2/config.mjs
@@ -56,28 +56,6 @@
   tenants: [{ name: 'club', apiKeys: [key] }],
 };
 
-/**
- * The next version, which adds a route. With `isOwnFleet` it leads to a second fleet, another model
- * service with servers of its own, else to the first one.
- */
-export const withAddedRoute = (isOwnFleet) => ({
-  ...operatorConfig,
-  version: operatorConfig.version + 1,
-  routes: [
-    ...operatorConfig.routes,
-    {
-      ...operatorConfig.routes[0],
-      name: 'compare',
-      prefix: '/compare/',
-      service: isOwnFleet ? 'llm-pool-2' : 'llm-pool',
-    },
-  ],
-  services: [
-    ...operatorConfig.services,
-    ...isOwnFleet ? [{ ...operatorConfig.services[0], name: 'llm-pool-2' }] : [],
-  ],
-});
-
 /** A model of 80 layers and 80,000 MB, for 20 cards and more in one zone. */
 export const longModelLayers = 80;
 
