Test clients that do not behave, before anything is changed for them

The gateway as a process, with the memory, the descriptors and the Node.js options of its deployment, and an entry of the own mode, each under crowds of connections: bodies of small and large chunks, heads over and inside the limits, trailers, chunk extensions and empty lines without end, more connections than are taken, also on the internal ports, unfinished TLS handshakes, 10,000 connections at once, and a stop under all that. Checked are that the process lives, memory and descriptors against the limits of the VM (350 MB, 4,100), and that an ordinary request is answered while the crowd stays and after it.

--- a/test/support/gateway-process.ts
+++ b/test/support/gateway-process.ts
@@ -1,11 +1,14 @@
 /** The bundled gateway as a process of its own, started with a settings file. */
 import { spawn, type ChildProcess } from 'node:child_process';
-import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { once } from 'node:events';
+import {
+  mkdtemp, readFile, rm, writeFile,
+} from 'node:fs/promises';
+import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { expect } from 'vitest';
-import { freePort } from '@verbenashunt/stand-ins';
 import { bundle } from '../../scripts/bundle.mjs';
 import { callGateway } from './gateway-fixture.js';
 
@@ -15,12 +18,35 @@
   node?: string;
   /** Time in seconds from SIGTERM until the process is killed. */
   graceS?: number;
+  /** Memory of the VM in MB; its settings state none by default. */
+  memoryMb?: number;
+  /** Whether it serves metrics and the relay; false by default. */
+  hasInternalPorts?: boolean;
+  /** Options of Node.js. */
+  nodeArgs?: readonly string[];
+  /** Maximum number of open file descriptors; that of the test's process by default. */
+  maxDescriptors?: number;
+}
+
+/** Returns a command and its arguments that run Node.js with a limit on its descriptors. */
+function nodeCommand({ maxDescriptors, nodeArgs = [] }: ProcessSettings): [string, string[]] {
+  if (maxDescriptors === undefined) return [process.execPath, [...nodeArgs]];
+  return ['bash', ['-c', `ulimit -n ${maxDescriptors} && exec "$0" "$@"`, process.execPath, ...nodeArgs]];
+}
+
+/** Options of Node.js with which the deployment file runs the gateway. */
+export async function deployedNodeArgs(): Promise<string[]> {
+  const text = await readFile(join(root, 'deploy/system.toml'), 'utf8');
+  const [, args = ''] = /run = "node (.*) target/.exec(text) ?? [];
+  return args.split(' ');
 }
 
 export interface GatewayProcess {
   child: ChildProcess;
   frontPort: number;
   readinessPort: number;
+  /** Port for metrics; the relay has the next one. Undefined if neither is served. */
+  metricsPort: number | undefined;
   settingsFile: string;
   output(): string;
   /** Resolves to the exit code. */
@@ -35,16 +61,19 @@
   remove(): Promise<void>;
 }
 
+type GatewayPorts = Pick<GatewayProcess, 'frontPort' | 'readinessPort' | 'metricsPort'>;
+
 const settingsText = (
   storeAddress: string,
-  { frontPort, readinessPort }: Pick<GatewayProcess, 'frontPort' | 'readinessPort'>,
-  { node = 'entry-1', graceS = 3 }: ProcessSettings,
+  { frontPort, readinessPort, metricsPort }: GatewayPorts,
+  { node = 'entry-1', graceS = 3, memoryMb }: ProcessSettings,
 ) => `
 node = "${node}"
 zone = "zone-a"
 region = "region"
 ip = "127.0.0.1"
 unknown = "left alone"
+${metricsPort === undefined ? '' : `internalPorts = [${metricsPort}, ${metricsPort + 1}]`}
 [listen]
 front = "127.0.0.1:${frontPort}"
 readyAddr = "127.0.0.1:${readinessPort}"
@@ -55,6 +84,7 @@
 retryBudgetRatio = 0.2
 budgetWindowS = 10
 budgetExtra = 100
+${memoryMb === undefined ? '' : `[limits]\nmemoryMb = ${memoryMb}`}
 [platform]
 address = "${storeAddress}"
 `;
@@ -74,6 +104,26 @@
 export const expectReadiness = (gateway: GatewayProcess) => expect
   .poll(() => readinessStatus(gateway), { timeout: 10_000 });
 
+/** Ports below those that the system gives to connections, as a crowd's may take any of those. */
+const lowestPort = 20_000;
+const highestPort = 32_000;
+/** Ports of a gateway: for callers, readiness, metrics and the relay. */
+const portCount = 4;
+
+async function isFree(port: number): Promise<boolean> {
+  const server = createServer().listen(port, '127.0.0.1');
+  const isListening = await once(server, 'listening').then(() => true, () => false);
+  server.close();
+  return isListening;
+}
+
+/** Resolves to the first of `portCount` consecutive ports that are free now. */
+async function freePorts(): Promise<number> {
+  const first = lowestPort + Math.floor(Math.random() * (highestPort - lowestPort));
+  const areFree = await Promise.all(Array.from({ length: portCount }, (_, i) => isFree(first + i)));
+  return areFree.every(Boolean) ? first : freePorts();
+}
+
 /** Bundles the gateway, as a deployment does. */
 export async function buildGatewayProgram(): Promise<GatewayProgram> {
   const dir = await mkdtemp(join(tmpdir(), 'verbenashunt-daemon-'));
@@ -83,10 +133,16 @@
     dir,
     bundleFile,
     async start(storeAddress, settings = {}) {
-      const ports = { frontPort: await freePort(), readinessPort: await freePort() };
+      const firstPort = await freePorts();
+      const ports = {
+        frontPort: firstPort,
+        readinessPort: firstPort + 1,
+        metricsPort: settings.hasInternalPorts ? firstPort + 2 : undefined,
+      };
       const settingsFile = join(dir, `settings-${ports.frontPort}.toml`);
       await writeFile(settingsFile, settingsText(storeAddress, ports, settings));
-      const child = spawn(process.execPath, [bundleFile], {
+      const [command, args] = nodeCommand(settings);
+      const child = spawn(command, [...args, bundleFile], {
         cwd: root, env: { VERBENASHUNT_BOOT: settingsFile }, stdio: ['ignore', 'pipe', 'pipe'],
       });
       let output = '';
