Bound the memory of all requests that are received or wait, over all connections

Callers saw: the process ends (SIGABRT) under 1,800 clients that send heads of 15,000 bytes in short lines and stop short of their bodies; it holds 447 to 535 MB of the 350 of its VM under 1,800 heads of 250 KB; and while 1,500 clients hold bodies of 64 KiB, every other caller with a body gets 503.

Cause: bodies were the only thing that was counted, in the bytes sent, and at the limit the newcomer was refused. Heads, which take some hundred bytes a line, trailers and what waits in the queue were not counted at all.

The listener now accounts for heads in parts, heads, bodies and trailers, until the answer is sent, in bytes of memory. Its input passes through JavaScript to the parser for that. Over the limit those give way that have held most for longest, of the requests that no target has been sent. The limit is a setting, by default 64 MiB or a quarter of the heap. A refused request whose body was not read closes its connection also when the rest had arrived in the same read. An answered request is no longer kept by its connection.

Two were seen on the way: with complete requests never giving way, 1,500 that wait shut out ordinary ones; with the last request kept by its connection, those 1,500 ended the process.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -10,8 +10,8 @@
 } from '@verbenashunt/core';
 import type { EntrySettings, Hello, Message } from '@verbenashunt/schema';
 import {
-  createBodyReader, createDialer, createHeartbeats, createPeerMetrics, createPlatformClient, drain,
-  protocolVersion, resolvePeerTls,
+  createBodyReader, createDialer, createHeartbeats, createPeerMetrics, createPlatformClient,
+  createRequestMemory, drain, protocolVersion, resolvePeerTls, type BodyReader,
 } from '@verbenashunt/wire';
 import { createEntryAdmission } from './admission/admission.js';
 import { createConfigPropagator, type ConfigPropagator } from './config/propagator.js';
@@ -172,7 +172,13 @@
     }),
   });
 
-  const readBody = createBodyReader({ maxBufferedBytes: cfg.maxBufferedBytes ?? 67_108_864 });
+  const memory = createRequestMemory({ maxBufferedBytes: cfg.maxBufferedBytes ?? 67_108_864 });
+  const readRequestBody = createBodyReader(memory);
+  const readBody: BodyReader = async (req, limits) => {
+    const body = await readRequestBody(req, limits);
+    memory.of(req)?.keep();
+    return body;
+  };
   const { interruptAll, ...callers } = createCallerHandlers({
     clock,
     config,
@@ -228,7 +234,7 @@
     broadcast: peers.broadcast,
   });
   await pollVms();
-  const http = await serveEntryHttp(resolveHttpOptions(cfg, () => stopping), {
+  const http = await serveEntryHttp(resolveHttpOptions(cfg, memory, () => stopping), {
     health: {
       ready: () => config.view !== undefined && !stopping,
       metrics() {
--- a/packages/entry/src/http/callers.ts
+++ b/packages/entry/src/http/callers.ts
@@ -100,7 +100,7 @@
 
     async chat(req: IncomingMessage, res: ServerResponse) {
       const authorized = authorize(req);
-      const chat = parseChat(await readBody(req, deps.maxBodyBytes));
+      const chat = parseChat(await readBody(req, { maxBytes: deps.maxBodyBytes }));
       checkStopping();
       const found = authorized.view.modelOf(chat.model);
       if (!found) throw createRefusal('not_found', { detail: chat.model });
@@ -153,7 +153,7 @@
       checkFleet(authorized, match.fleet);
       const repeatable = isRepeatable(match.route, method);
       const key = repeatable ? undefined : idempotencyKeyOf(req);
-      const body = await readBody(req, deps.maxBodyBytes);
+      const body = await readBody(req, { maxBytes: deps.maxBodyBytes });
       checkStopping();
       if (!canRespond(res)) return;
       const id = deps.nextId();
--- a/packages/entry/src/http/operators.ts
+++ b/packages/entry/src/http/operators.ts
@@ -45,7 +45,7 @@
   }
 
   async function submit(req: IncomingMessage, res: ServerResponse, operator: string) {
-    const command = parseJson(await readBody(req, maxCommandBytes));
+    const command = parseJson(await readBody(req, { maxBytes: maxCommandBytes }));
     if (!validators.command(command)) {
       const issue = validators.command.errors?.[0];
       throw createRefusal('bad_request', { detail: `${issue?.instancePath} ${issue?.message}` });
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -2,9 +2,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import restana from 'restana';
-import { createRefusal, toRefusal, type Clock } from '@verbenashunt/core';
+import { toRefusal, type Clock } from '@verbenashunt/core';
 import {
-  abortResponse, addHealthRoutes, createHttpListener, hasBody,
+  abortResponse, addHealthRoutes, createHttpListener, isBodyUnread,
   type HealthSource, type HttpListenerOptions,
 } from '@verbenashunt/wire';
 import { sendRefusal } from './responses.js';
@@ -48,8 +48,6 @@
   cancel();
 }
 
-const isBodyUnread = (req: IncomingMessage) => !req.complete && hasBody(req);
-
 export async function serveEntryHttp(
   options: EntryHttpOptions,
   routes: EntryHttpRoutes,
@@ -59,12 +57,12 @@
 
   const withErrorHandling = (handler: HttpHandler): HttpHandler => async (req, res) => {
     if (options.stopping()) res.shouldKeepAlive = false;
+    const refusal = listener.refusalOf(req);
     try {
-      if (listener.isRefused(req)) throw createRefusal('too_many_connections');
+      if (refusal) throw refusal;
       await handler(req, res);
     } catch (err) {
-      // Otherwise the unread rest of the body would be parsed as the next request.
-      if (isBodyUnread(req) || listener.isRefused(req)) res.shouldKeepAlive = false;
+      if (isBodyUnread(req) || refusal) res.shouldKeepAlive = false;
       if (!res.headersSent) sendRefusal(res, toRefusal(err));
       else abortResponse(res);
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,7 +7,7 @@
   createServingConfigHolder, SystemClock,
   type Clock, type RetryLimits,
 } from '@verbenashunt/core';
-import { createBodyReader, drain } from '@verbenashunt/wire';
+import { createBodyReader, createRequestMemory, drain } from '@verbenashunt/wire';
 import { createCallerHandler } from './http/caller-handler.js';
 import {
   serveCallers, serveProbe, type Address, type CallerServer,
@@ -46,6 +46,8 @@
   /** Time in milliseconds from the stop signal until the process is killed. */
   graceMs: number;
   retries: RetryLimits;
+  /** Limit on the memory in bytes of all requests that are being received or wait for answers. */
+  maxBufferedBytes: number;
   /** Limits of the queue of each service. */
   queue: StartQueueLimits;
 }
@@ -75,8 +77,6 @@
   stop(signal?: AbortSignal): Promise<boolean>;
 }
 
-/** Maximum total size in bytes of callers' bodies that are being received. */
-const maxBufferedBytes = 64 * 1024 * 1024;
 /**
  * Minimum duration of a stop in milliseconds: time for two failed health checks of the load
  * balancer, which checks once a second.
@@ -107,7 +107,7 @@
   const requestLog = createRequestLog({ log, clock });
   const { rows, callers } = ports;
   const events = new Emittery<GatewayEvents>();
-  const readBody = createBodyReader({ maxBufferedBytes });
+  const memory = createRequestMemory(cfg);
   const runs = new Set<RequestRun>();
   const progress = createTargetProgress();
   const durations = createStreamDurations();
@@ -226,6 +226,7 @@
 
   function run(spec: RequestSpec, res: ServerResponse) {
     const sink = createAnswerSink(res, callers, spec.caller.id);
+    const account = memory.of(res.req);
     const requestMetrics = metrics.ofRequest(spec);
     const requestRun = startRun(spec, sink, {
       clock,
@@ -239,6 +240,7 @@
       isStopping: () => stopping.isStopping,
       isTooLateToSend: stopping.isTooLateToSend,
       stoppingRetryMs: stopping.retryMs,
+      requestSent: () => account?.keep(),
       ...requestMetrics,
       attemptFailed(end) {
         requestMetrics.attemptFailed(end);
@@ -246,6 +248,7 @@
         loadSharing?.pressed();
       },
     });
+    account?.onGiveWay(requestRun.refuseIfUnsent);
     runs.add(requestRun);
     res.once('close', () => {
       runs.delete(requestRun);
@@ -264,7 +267,8 @@
     log: requestLog,
     metrics,
     callers,
-    readBody,
+    readBody: createBodyReader(memory),
+    hasGivenWay: (req) => memory.of(req)?.hasGivenWay ?? false,
     view: () => (mayServe() ? config.view : undefined),
     isStopping: () => stopping.isStopping,
     refusalWhileStopping: stopping.refusalOf,
@@ -277,7 +281,7 @@
   })]);
 
   const isReady = () => mayServe() && !stopping.isStopping;
-  server = await serveCallers(cfg.front, handle);
+  server = await serveCallers(cfg.front, { memory, handle });
   if (config.view) server.apply(config.view.config.limits);
   const probes = [await serveProbe(cfg.readiness, {
     path: cfg.readiness.path,
--- a/packages/gateway/src/http/caller-handler.ts
+++ b/packages/gateway/src/http/caller-handler.ts
@@ -4,7 +4,7 @@
   BaseError, createRefusal, toRefusal, type Clock, type Refusal, type ServingView,
 } from '@verbenashunt/core';
 import {
-  afterNextRead, canRespond, hasBody, type BodyReader,
+  afterNextRead, canRespond, createMemoryRefusal, hasBody, isBodyUnread, type BodyReader,
 } from '@verbenashunt/wire';
 import type { GatewayMetrics } from '../metrics.js';
 import type { CallerProtocol, CallerRequest } from '../ports.js';
@@ -26,6 +26,8 @@
   isStopping(): boolean;
   /** Returns a refusal if the entry is stopping and the request could no longer complete. */
   refusalWhileStopping(spec: Omit<RequestSpec, 'body'>): Refusal | undefined;
+  /** Whether other requests need the memory of this one, which must not run then. */
+  hasGivenWay(req: IncomingMessage): boolean;
   /** Why the request must not run, as it crashes targets; undefined if it may run. */
   findPoison(spec: RequestSpec): string | undefined;
   run(spec: RequestSpec, res: ServerResponse): void;
@@ -52,7 +54,9 @@
     const refusal = deps.refusalWhileStopping(specWithoutBody);
     if (refusal) throw refusal;
     const timeLeftMs = Math.max(0, specWithoutBody.expiresAt - deps.clock.now());
-    const body = hasBody(req) ? await deps.readBody(req, maxBodyBytes, timeLeftMs) : undefined;
+    const body = hasBody(req)
+      ? await deps.readBody(req, { maxBytes: maxBodyBytes, timeoutMs: timeLeftMs })
+      : undefined;
     // The body may have taken most of the grace time.
     const lateRefusal = deps.refusalWhileStopping(specWithoutBody);
     if (lateRefusal) throw lateRefusal;
@@ -74,20 +78,25 @@
     if (!res.headersSent) callers.refuse(res, refusal, caller?.id);
   }
 
-  return async function handle(req: IncomingMessage, res: ServerResponse) {
+  return async function handle(
+    req: IncomingMessage,
+    res: ServerResponse,
+    connectionRefusal: Refusal | undefined,
+  ) {
     const arrivedAt = deps.clock.now();
     let caller: CallerRequest | undefined;
     if (deps.isStopping()) res.shouldKeepAlive = false;
     try {
       caller = callers.read(req);
+      if (connectionRefusal) throw connectionRefusal;
       const spec = await admit(req, caller, arrivedAt);
       // On a busy VM a request may have waited unread while its caller gave up.
       await afterNextRead();
+      if (deps.hasGivenWay(req)) throw createMemoryRefusal();
       if (hasLeft(req, res)) deps.log.info({ req: caller.id }, 'caller left before the request was sent on');
       else deps.run(spec, res);
     } catch (err) {
-      // The unread rest of the body must not be parsed as the next request.
-      if (!req.complete) res.shouldKeepAlive = false;
+      if (isBodyUnread(req) || connectionRefusal) res.shouldKeepAlive = false;
       refuse(res, caller, err);
     }
   };
--- a/packages/gateway/src/http/server.ts
+++ b/packages/gateway/src/http/server.ts
@@ -2,16 +2,14 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import restana from 'restana';
-import type { CallerLimits } from '@verbenashunt/core';
-import { createHttpListener, type HttpListener } from '@verbenashunt/wire';
+import type { CallerLimits, Refusal } from '@verbenashunt/core';
+import { createHttpListener, type HttpListener, type RequestMemory } from '@verbenashunt/wire';
 
 export interface Address {
   host: string;
   port: number;
 }
 
-export type Handler = (req: IncomingMessage, res: ServerResponse) => Promise<void>;
-
 /** Limits in force until the first configuration arrives. */
 const initialLimits = { headerTimeoutMs: 3000, idleTimeoutMs: 15_000 };
 /** Maximum size of headers that the parser reads, in bytes; the configured limit is lower. */
@@ -31,6 +29,15 @@
   return firstLine + texts + (rawHeaders.length / 2) * lineOverheadBytes;
 }
 
+/** Limits of the servers for other processes of the platform, which send small requests. */
+export const internalLimits = {
+  maxHeaderBytes: 16 * 1024,
+  headerTimeoutMs: 10_000,
+  bodyTimeoutMs: 30_000,
+  keepAliveTimeoutMs: 65_000,
+  streamStallTimeoutMs: stallTimeoutMs,
+};
+
 export interface CallerServer {
   readonly port: number;
   /** Number of answers that have not been sent completely. */
@@ -80,8 +87,15 @@
   });
 }
 
-export async function serveCallers({ host, port }: Address, handler: Handler) {
+export interface CallerServerDeps {
+  memory: RequestMemory;
+  /** Handles a request; `refusal` is set if it has to be refused at once, with its connection. */
+  handle(req: IncomingMessage, res: ServerResponse, refusal: Refusal | undefined): Promise<void>;
+}
+
+export async function serveCallers({ host, port }: Address, { memory, handle }: CallerServerDeps) {
   const listener = createHttpListener({
+    memory,
     maxConnections,
     maxHeaderBytes: maxReadHeaderBytes,
     headerTimeoutMs: initialLimits.headerTimeoutMs,
@@ -90,7 +104,11 @@
     streamStallTimeoutMs: stallTimeoutMs,
   });
   const { server } = listener;
-  const app = restana({ server, defaultRoute: handler, prioRequestsProcessing: false });
+  const app = restana({
+    server,
+    defaultRoute: (req, res) => handle(req, res, listener.refusalOf(req)),
+    prioRequestsProcessing: false,
+  });
   await app.start(port, host);
   const callerServer: CallerServer = {
     port: (server.address() as AddressInfo).port,
--- a/packages/gateway/src/load/load-server.ts
+++ b/packages/gateway/src/load/load-server.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Protocol, Service } from 'restana';
 import { ProtocolError } from '@verbenashunt/core';
-import type { BodyReader } from '@verbenashunt/wire';
+import { isBodyUnread, type BodyReader } from '@verbenashunt/wire';
 import type { LoadKeeper, DropReason } from './load-keeper.js';
 import {
   decodeReport, decodeZoneLoads, encodeLoads, maxLoadBytes,
@@ -57,7 +57,7 @@
     const to = receiver();
     if (!to) return { status: statusUnavailable };
     try {
-      const body = await readBody(req, maxLoadBytes);
+      const body = await readBody(req, { maxBytes: maxLoadBytes });
       to.received(body.length);
       return handle(body, to);
     } catch (err) {
@@ -71,7 +71,7 @@
     app.post(path, async (req, res) => {
       const { status, body } = await reply(req, handle);
       res.statusCode = status;
-      if (!req.complete) res.setHeader('connection', 'close');
+      if (isBodyUnread(req)) res.setHeader('connection', 'close');
       res.setHeader('content-length', body?.length ?? 0);
       res.end(body);
     });
--- a/packages/gateway/src/relay/relay-server.ts
+++ b/packages/gateway/src/relay/relay-server.ts
@@ -5,9 +5,9 @@
  */
 import type { AddressInfo } from 'node:net';
 import restana from 'restana';
-import { createBodyReader } from '@verbenashunt/wire';
+import { createBodyReader, createHttpListener, createRequestMemory } from '@verbenashunt/wire';
 import { announcementPath, type AnnouncedRow } from './announcements.js';
-import type { Address } from '../http/server.js';
+import { internalLimits, type Address } from '../http/server.js';
 import { encodeChanges } from './encoding.js';
 import { addLoadRoutes, type LoadReceiver } from '../load/load-server.js';
 import { tokenPath, type RateLimiter } from '../targets/rate-limiter.js';
@@ -21,8 +21,10 @@
 const statusUnavailable = 503;
 /** Maximum size in bytes of an announced row, as in the store. */
 const maxRowBytes = 64 * 1024;
-/** Maximum total size in bytes of the rows that are being received. */
+/** Limit on the memory in bytes of all requests that are being received or wait for answers. */
 const maxBufferedBytes = 4 * 1024 * 1024;
+/** Maximum number of connections of other entries, each of which keeps a few open. */
+const maxConnections = 512;
 /** Longest time in milliseconds for which a request waits for changes. */
 const maxWaitMs = 10_000;
 
@@ -48,8 +50,10 @@
     logOf, onAnnouncement, takeToken, loadReceiver,
   }: RelayServerDeps,
 ): Promise<RelayServer> {
-  const app = restana();
-  const readBody = createBodyReader({ maxBufferedBytes });
+  const memory = createRequestMemory({ maxBufferedBytes });
+  const { server } = createHttpListener({ ...internalLimits, maxConnections, memory });
+  const app = restana({ server });
+  const readBody = createBodyReader(memory);
   app.get(`${relayPath}/:table`, async (req, res) => {
     const query = new URL(req.url!, 'http://relay').searchParams;
     const numberOf = (name: string) => Number(query.get(name) ?? 0) || 0;
@@ -64,7 +68,7 @@
   });
   app.put(`${announcementPath}/:table/:key`, async (req, res) => {
     const { table, key } = req.params;
-    const value = await readBody(req, maxRowBytes);
+    const value = await readBody(req, { maxBytes: maxRowBytes });
     onAnnouncement({
       table: decodeURIComponent(table!), key: decodeURIComponent(key!), value,
     });
@@ -89,7 +93,7 @@
     res.end(String(waitMs));
   });
   if (loadReceiver) addLoadRoutes(app, readBody, loadReceiver);
-  const server = await app.start(port, host);
+  await app.start(port, host);
   return {
     port: (server.address() as AddressInfo).port,
     close() {
--- a/packages/gateway/src/requests/run.ts
+++ b/packages/gateway/src/requests/run.ts
@@ -33,6 +33,8 @@
   durations: StreamDurations;
   /** Whether the entry is stopping and a request that is sent now would not end before it. */
   isTooLateToSend(spec: RequestSpec): boolean;
+  /** Called when the request is sent to a target, which may run it. */
+  requestSent(): void;
 }
 
 export function startRun(spec: RequestSpec, sink: AnswerSink, deps: RunDeps): RequestRun {
@@ -301,6 +303,7 @@
 
   function runAttempt(next: Choice) {
     if (endIfTooLate()) return;
+    deps.requestSent();
     choice = next;
     attempts += 1;
     sentAt = clock.now();
@@ -343,6 +346,9 @@
     refuseIfTooLate() {
       if (!attempt) endIfTooLate();
     },
+    refuseIfUnsent() {
+      if (attempts === 0) giveUp('overloaded', 'other requests need its memory');
+    },
     interrupt: () => giveUp('stopping', 'the entry stopped'),
   };
 }
--- a/packages/gateway/src/requests/spec.ts
+++ b/packages/gateway/src/requests/spec.ts
@@ -63,6 +63,8 @@
 export interface RequestRun {
   /** Refuses the request if it waits to be sent and can no longer end before the entry does. */
   refuseIfTooLate(): void;
+  /** Refuses the request as not run if it was not sent to a target yet. */
+  refuseIfUnsent(): void;
   /** Ends the request because the caller has disconnected; sends nothing more. */
   cancel(): void;
   /** Ends the request because the entry stops; tells the caller whether it may have run. */
--- a/packages/wire/src/http/body.ts
+++ b/packages/wire/src/http/body.ts
@@ -1,61 +1,76 @@
-/** Reads request bodies with a limit per body and one on all bodies being read. */
+/** Reads request bodies with a limit per body and one on the memory of all requests. */
 import type { IncomingMessage } from 'node:http';
-import { createRefusal } from '@verbenashunt/core';
+import { createRefusal, type Refusal } from '@verbenashunt/core';
 import { createBodyBuffer } from './body-buffer.js';
+import { createMemoryRefusal, type RequestMemory } from './request-memory.js';
 
 /** Whether the headers of a request announce a body. */
 export const hasBody = ({ headers }: IncomingMessage) => 'content-length' in headers
   || 'transfer-encoding' in headers;
 
-export interface BodyReaderOptions {
-  /** Limit on the memory in bytes of all bodies that are still being read. */
-  maxBufferedBytes: number;
+/**
+ * Whether a request has a body that was not read to its end. After its response the connection has
+ * to be closed, as the rest would be parsed as the next request.
+ */
+export const isBodyUnread = (req: IncomingMessage) => hasBody(req) && !req.readableEnded;
+
+/** Limits of one body. */
+export interface BodyLimits {
+  /** Maximum number of bytes. */
+  maxBytes: number;
+  /** Time in milliseconds in which it has to be complete; that of the server by default. */
+  timeoutMs?: number;
 }
 
 /**
- * Reads a complete body; rejects if it is larger than `limit` bytes, or not complete within
- * `timeoutMs`, by default that of the server.
+ * Reads a complete body; rejects with a refusal if it is over its limits or breaks off, or if the
+ * memory of all requests is over its own limit and this one has to give way.
  */
-export type BodyReader = (
-  req: IncomingMessage,
-  limit: number,
-  timeoutMs?: number,
-) => Promise<Buffer>;
+export type BodyReader = (req: IncomingMessage, limits: BodyLimits) => Promise<Buffer>;
 
-/** Creates a reader; all its reads in progress share one buffer limit. */
-export function createBodyReader({ maxBufferedBytes }: BodyReaderOptions): BodyReader {
-  let totalBuffered = 0;
-
-  return async (req, limit, timeoutMs) => {
+/** Creates a reader of the bodies of requests that are accounted for in `memory`. */
+export function createBodyReader(memory: Pick<RequestMemory, 'of'>): BodyReader {
+  return async (req, { maxBytes, timeoutMs }) => {
     const declared = Number(req.headers['content-length'] ?? 0);
-    if (declared > limit) throw createRefusal('body_too_large', { detail: `limit ${limit} bytes` });
+    const account = memory.of(req);
+    const tooLarge = () => createRefusal('body_too_large', { detail: `limit ${maxBytes} bytes` });
+    if (account?.hasGivenWay) throw createMemoryRefusal();
+    if (declared > maxBytes) throw tooLarge();
     const body = createBodyBuffer(declared);
     let isSettled = false;
     let timer: NodeJS.Timeout | undefined;
     try {
       return await new Promise<Buffer>((resolve, reject) => {
+        const refuse = (refusal: Refusal) => {
+          isSettled = true;
+          reject(refusal);
+        };
+        account?.onGiveWay(() => refuse(createMemoryRefusal()));
         if (timeoutMs !== undefined) {
-          timer = setTimeout(() => reject(createRefusal('request_timeout')), timeoutMs);
+          timer = setTimeout(() => refuse(createRefusal('request_timeout')), timeoutMs);
         }
         // `close` follows each request; an error with its stack trace is created only if needed.
         const onIncomplete = () => {
-          if (!isSettled) reject(createRefusal('bad_request', { detail: 'the body broke off' }));
+          if (!isSettled) refuse(createRefusal('bad_request', { detail: 'the body broke off' }));
         };
         req.on('data', (chunk: Buffer) => {
-          const heldBefore = body.heldBytes;
+          // After a refusal the parser still hands over the rest of what it has read.
+          if (isSettled) return;
           body.add(chunk);
-          totalBuffered += body.heldBytes - heldBefore;
-          if (body.length > limit) reject(createRefusal('body_too_large', { detail: `limit ${limit} bytes` }));
-          else if (totalBuffered > maxBufferedBytes) reject(createRefusal('overloaded', { detail: 'too many bodies at once' }));
+          if (body.length > maxBytes) refuse(tooLarge());
+          else account?.receivePart(chunk.length, body.heldBytes);
+        });
+        req.on('end', () => {
+          // May be the one that has to give way.
+          account?.complete();
+          resolve(body.toBuffer());
         });
-        req.on('end', () => resolve(body.toBuffer()));
         req.on('error', onIncomplete);
         req.on('close', onIncomplete);
       });
     } finally {
       isSettled = true;
       clearTimeout(timer);
-      totalBuffered -= body.heldBytes;
       req.removeAllListeners('data');
       req.pause();
     }
--- a/packages/wire/src/http/client-errors.ts
+++ b/packages/wire/src/http/client-errors.ts
@@ -10,9 +10,17 @@
   requests: number;
   /** Responses that are not completely sent. */
   readonly pending: Set<ServerResponse>;
+  /** Request whose headers have arrived last; undefined once it was answered. */
+  last: IncomingMessage | undefined;
 }
 
+/** State of a connection on which nothing has arrived. */
+export const createConnectionState = (): ConnectionState => ({
+  requests: 0, pending: new Set(), last: undefined,
+});
+
 const statusText = 'Refused';
+const millisecondsPerSecond = 1000;
 const timeoutErrorCode = 'ERR_HTTP_REQUEST_TIMEOUT';
 /**
  * Time in milliseconds for which a connection stays open after a refusal. Closed while its client
@@ -42,10 +50,14 @@
 
 function sendRefusal(code: RefusalCode, socket: Socket) {
   const refusal = createRefusal(code);
+  const { status, retryAfterMs } = refusal;
   const body = JSON.stringify(refusalBody(refusal));
+  const retryAfter = retryAfterMs === undefined
+    ? []
+    : [`retry-after: ${Math.ceil(retryAfterMs / millisecondsPerSecond)}`];
   socket.end([
-    `HTTP/1.1 ${refusal.status} ${statusText}`, 'content-type: application/json', 'connection: close',
-    `content-length: ${Buffer.byteLength(body)}`, '', body,
+    `HTTP/1.1 ${status} ${statusText}`, 'content-type: application/json', 'connection: close',
+    ...retryAfter, `content-length: ${Buffer.byteLength(body)}`, '', body,
   ].join('\r\n'));
   const closing = setTimeout(() => socket.destroy(), lingerMs);
   socket.once('close', () => clearTimeout(closing));
@@ -64,21 +76,27 @@
 }
 
 /**
- * Refuses what could not be parsed or is late; while an earlier request on the connection waits for
- * its answer, this only ends the connection after it. Nothing that is sent after a refusal is
- * parsed, as "not run" must stay true.
+ * Refuses what a connection is receiving; while an earlier request on it waits for its answer, this
+ * only ends the connection after it. Nothing that is sent after a refusal is parsed, as "not run"
+ * must stay true.
  */
-function refuse(err: NodeJS.ErrnoException, socket: Socket, state: ConnectionState) {
+export function refuseInput(code: RefusalCode, socket: Socket, state: ConnectionState) {
   const isAnswerDue = [...state.pending].some(isAwaited);
-  const hasLeft = err.code === 'ECONNRESET' || !socket.writable || (isAnswerDue && socket.readableEnded);
+  const hasLeft = !socket.writable || (isAnswerDue && socket.readableEnded);
   if (hasLeft) socket.destroy();
   else if (isAnswerDue) closeAfterAnswers(socket, state);
   else {
     discardInput(socket);
-    sendRefusal(refusalCodeOf(err), socket);
+    sendRefusal(code, socket);
   }
 }
 
+/** Refuses what could not be parsed or is late. */
+function refuse(err: NodeJS.ErrnoException, socket: Socket, state: ConnectionState) {
+  if (err.code === 'ECONNRESET') socket.destroy();
+  else refuseInput(refusalCodeOf(err), socket, state);
+}
+
 /**
  * Creates a handler of `clientError`. A request counts as late only if the rest of it has not
  * arrived by the time its connection was read; `bodyTimeoutMs` limits the time of its body then.
--- a/packages/wire/src/http/listener.ts
+++ b/packages/wire/src/http/listener.ts
@@ -4,9 +4,15 @@
 } from 'node:http';
 import { createServer as createTlsServer } from 'node:https';
 import { Server as NetServer, type Socket } from 'node:net';
+import { createRefusal, type Refusal } from '@verbenashunt/core';
 import type { TlsCredentials } from '../tls.js';
-import { createClientErrorHandler, type ConnectionState } from './client-errors.js';
+import { hasBody } from './body.js';
+import {
+  createClientErrorHandler, createConnectionState, type ConnectionState,
+} from './client-errors.js';
+import { watchIntake } from './intake.js';
 import { afterNextRead } from './next-read.js';
+import { createMemoryRefusal, type RequestMemory } from './request-memory.js';
 import { abortConnection } from './reset.js';
 
 /** Connections over `maxConnections` that still get a refusal as response; the rest are closed. */
@@ -16,6 +22,8 @@
 export interface HttpListenerOptions {
   maxConnections: number;
   maxHeaderBytes: number;
+  /** Memory of the requests of all servers of the process. */
+  memory: RequestMemory;
   headerTimeoutMs: number;
   bodyTimeoutMs: number;
   keepAliveTimeoutMs: number;
@@ -35,8 +43,11 @@
   readonly server: Server;
   /** Number of responses that are not completely sent. */
   readonly active: number;
-  /** Whether the request came on a connection over `maxConnections`. */
-  isRefused(req: IncomingMessage): boolean;
+  /**
+   * Why the request must be refused at once, with its connection: it is over `maxConnections`, or
+   * there is no memory for the request. Undefined if it may be handled.
+   */
+  refusalOf(req: IncomingMessage): Refusal | undefined;
   /** Accepts no further connections; `onClosed` follows when the open ones are closed. */
   stopListening(onClosed?: () => void): void;
   /** Closes the connections that were used and on which no response is awaited or being sent. */
@@ -47,13 +58,14 @@
 
 /** Creates a server; the caller starts listening. */
 export function createHttpListener(limits: HttpListenerOptions): HttpListener {
+  const { memory } = limits;
   const connections = new Map<Socket, ConnectionState>();
   const refusedSockets = new WeakSet<Socket>();
   let active = 0;
 
   /** A connection that has closed has a state of its own, which is not kept. */
   const stateOf = (socket: Socket): ConnectionState => connections.get(socket)
-    ?? { requests: 0, pending: new Set() };
+    ?? createConnectionState();
   const hasPending = (socket: Socket) => stateOf(socket).pending.size > 0;
 
   const options = {
@@ -71,17 +83,25 @@
 
   server.on(limits.tls ? 'secureConnection' : 'connection', (socket: Socket) => {
     if (connections.size >= limits.maxConnections) refusedSockets.add(socket);
-    connections.set(socket, { requests: 0, pending: new Set() });
+    const state = createConnectionState();
+    connections.set(socket, state);
     socket.once('close', () => connections.delete(socket));
+    watchIntake(socket, state, memory);
   });
 
   server.on('request', (req: IncomingMessage, res: ServerResponse) => {
     const state = stateOf(req.socket);
     state.requests += 1;
     state.pending.add(res);
+    state.last = req;
     active += 1;
+    const account = memory.openRequest(req);
+    if (!hasBody(req)) account.complete();
     res.once('close', () => {
       active -= 1;
+      account.close();
+      // A kept connection would hold its headers.
+      if (state.last === req) state.last = undefined;
       state.pending.delete(res);
     });
   });
@@ -110,7 +130,10 @@
     get active() {
       return active;
     },
-    isRefused: (req) => refusedSockets.has(req.socket),
+    refusalOf(req) {
+      if (refusedSockets.has(req.socket)) return createRefusal('too_many_connections');
+      return memory.of(req)?.hasGivenWay ? createMemoryRefusal() : undefined;
+    },
     stopListening(onClosed) {
       // The HTTP server's own `close` also destroys kept connections, on which a request may have
       // just arrived, and those whose last response has been handed over but not sent completely.
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -44,6 +44,8 @@
       retries: {
         ratio: 0.2, extra: 198, windowMs: 10_000, lentShare: 0,
       },
+      // A quarter of the heap of the process that runs the tests is more.
+      maxBufferedBytes: 67_108_864,
       queue: { maxQueue: 200, maxQueueBytes: 8_388_608, priorityFloor: 0.1 },
       lapseGrace: { heartbeatMs: 1200, leaveMs: 2000 },
     },
@@ -82,11 +84,13 @@
     VERBENASHUNT_BOOT: path,
     VERBENASHUNT_MAX_QUEUE: '0',
     VERBENASHUNT_MAX_QUEUE_BYTES: '1000',
+    VERBENASHUNT_MAX_BUFFERED_BYTES: '2000',
     VERBENASHUNT_PRIORITY_FLOOR: '0.05',
     VERBENASHUNT_LENT_RETRIES: '0.25',
   });
   await rm(dir, { recursive: true });
   expect(gateway.queue).toEqual({ maxQueue: 0, maxQueueBytes: 1000, priorityFloor: 0.05 });
+  expect(gateway.maxBufferedBytes).toBe(2000);
   expect(gateway.retries.lentShare).toBe(0.25);
 });
 
@@ -95,6 +99,7 @@
   ['VERBENASHUNT_MAX_QUEUE', '-1', 'a whole number from 0 to 100000'],
   ['VERBENASHUNT_MAX_QUEUE', '', 'a whole number from 0 to 100000'],
   ['VERBENASHUNT_MAX_QUEUE_BYTES', '1e9', 'a whole number from 0 to 1073741824'],
+  ['VERBENASHUNT_MAX_BUFFERED_BYTES', '64M', 'a whole number from 0 to 1073741824'],
   ['VERBENASHUNT_PRIORITY_FLOOR', '0.6', 'a number from 0 to 0.5'],
   ['VERBENASHUNT_LENT_RETRIES', '1', 'a number from 0 to 0.9'],
 ])('rejects %s "%s" with an error that tells what it takes', async (name, value, takes) => {
--- a/test/support/gateway-fixture.ts
+++ b/test/support/gateway-fixture.ts
@@ -104,6 +104,7 @@
     changeBoundMs: 2000,
     graceMs: 3000,
     retries: { ratio: 0.2, extra: 200, windowMs: 10_000 },
+    maxBufferedBytes: 64 * 1024 * 1024,
     queue: { maxQueue: 200, maxQueueBytes: 8 * 1024 * 1024, priorityFloor: 0.1 },
     lapseGrace: { heartbeatMs: 1000, leaveMs: 2000 },
     ...overrides,
