End connections that send something all the time and never a request

Callers saw: nothing; connections that send empty lines without end stay open for ever, on a new connection and on a kept one.

Cause: the parser skips empty lines before a request without counting them, and each byte is activity for the idle timeout. On a new connection the headers timeout applies, but it waits until nothing more arrives.

The time for a head runs from its first byte also on a kept connection.

The new test of a kept connection that sends an empty line now and then is closed at its timeout.

--- a/packages/gateway/src/http/server.ts
+++ b/packages/gateway/src/http/server.ts
@@ -94,10 +94,12 @@
 }
 
 export async function serveCallers({ host, port }: Address, { memory, handle }: CallerServerDeps) {
+  let maxHeaderBytes = maxReadHeaderBytes;
   const listener = createHttpListener({
     memory,
     maxConnections,
     maxHeaderBytes: maxReadHeaderBytes,
+    maxPartialHeaderBytes: () => maxHeaderBytes,
     headerTimeoutMs: initialLimits.headerTimeoutMs,
     bodyTimeoutMs: stallTimeoutMs,
     keepAliveTimeoutMs: initialLimits.idleTimeoutMs,
@@ -115,7 +117,8 @@
     get active() {
       return listener.active;
     },
-    apply({ headerTimeoutMs, idleTimeoutMs }) {
+    apply({ headerTimeoutMs, idleTimeoutMs, ...next }) {
+      maxHeaderBytes = next.maxHeaderBytes;
       server.headersTimeout = headerTimeoutMs;
       server.keepAliveTimeout = idleTimeoutMs;
     },
--- a/packages/wire/src/http/listener.ts
+++ b/packages/wire/src/http/listener.ts
@@ -21,7 +21,10 @@
 
 export interface HttpListenerOptions {
   maxConnections: number;
+  /** Maximum size in bytes of the request line and headers, without separators, to be parsed. */
   maxHeaderBytes: number;
+  /** Lower limit for heads that arrive in parts, separators included; the same by default. */
+  maxPartialHeaderBytes?(): number;
   /** Memory of the requests of all servers of the process. */
   memory: RequestMemory;
   headerTimeoutMs: number;
@@ -58,7 +61,7 @@
 
 /** Creates a server; the caller starts listening. */
 export function createHttpListener(limits: HttpListenerOptions): HttpListener {
-  const { memory } = limits;
+  const { memory, maxPartialHeaderBytes = () => limits.maxHeaderBytes } = limits;
   const connections = new Map<Socket, ConnectionState>();
   const refusedSockets = new WeakSet<Socket>();
   let active = 0;
@@ -86,7 +89,11 @@
     const state = createConnectionState();
     connections.set(socket, state);
     socket.once('close', () => connections.delete(socket));
-    watchIntake(socket, state, memory);
+    watchIntake(socket, state, {
+      memory,
+      maxHeaderBytes: maxPartialHeaderBytes,
+      headerTimeoutMs: () => server.headersTimeout,
+    });
   });
 
   server.on('request', (req: IncomingMessage, res: ServerResponse) => {
--- a/test/gateway/late-requests.test.ts
+++ b/test/gateway/late-requests.test.ts
@@ -92,6 +92,20 @@
   expect(ranIds()).toEqual([]);
 });
 
+// Guards against a connection that is kept for ever without any further request.
+test('a kept connection that sends an empty line now and then is closed', async () => {
+  const caller = await start();
+  caller.write(requestText('first'));
+  await expect.poll(() => caller.received).toMatch(/^HTTP\/1\.1 200 /);
+  await expect.poll(() => {
+    if (!caller.isEnded) caller.write('\r\n');
+    return caller.isEnded;
+  }, { timeout: 10_000, interval: 100 }).toBe(true);
+  caller.write(requestText('next'));
+  await wait(100);
+  expect(ranIds()).toEqual(['first']);
+});
+
 // Guards against cutting off a request that a target is running, for what its caller sent after it.
 test.each([
   ['bytes that are no request', 'no request\r\n\r\n'],
