Let connections without requests make room for new ones

Callers saw: while 3,500 clients keep connections open, silent, in the middle of a head or after an answer, nobody else is accepted, until the timeouts of those connections, as long as the crowd does not renew them. In an entry with TLS, clients that never complete a handshake do the same.

Cause: at the limit the newcomer was closed, or refused, whoever held the places. TLS connections were counted only after their handshakes, for which Node.js allows two minutes; before, only the limit of the server held, which closes newcomers unheard.

At the limit a newcomer takes the place of the connection without progress for longest, at least a second, on which no answer is due. Handshakes count, and have the time of a head.

'a request on a connection over the limit gets a refusal' is unchanged: fresh connections are not closed for others.

--- a/packages/wire/src/http/client-errors.ts
+++ b/packages/wire/src/http/client-errors.ts
@@ -12,11 +12,19 @@
   readonly pending: Set<ServerResponse>;
   /** Request whose headers have arrived last; undefined once it was answered. */
   last: IncomingMessage | undefined;
+  /** Whether part of a head has arrived, or of an empty line before one. */
+  hasPartialHead(): boolean;
+  /** When it was opened, or last had the head of a request or the end of an answer; in ms. */
+  lastProgressAt: number;
 }
 
 /** State of a connection on which nothing has arrived. */
 export const createConnectionState = (): ConnectionState => ({
-  requests: 0, pending: new Set(), last: undefined,
+  requests: 0,
+  pending: new Set(),
+  last: undefined,
+  hasPartialHead: () => false,
+  lastProgressAt: performance.now(),
 });
 
 const statusText = 'Refused';
@@ -37,6 +45,9 @@
 /** Whether bytes on a connection can still be taken for the answer to this request. */
 const isAwaited = (res: ServerResponse) => res.req.complete || res.headersSent;
 
+/** Whether a request that has arrived on a connection waits for its answer. */
+export const isAnswerDue = ({ pending }: ConnectionState) => [...pending].some(isAwaited);
+
 /** The request whose body is being received; undefined if there is none. */
 const incompleteRequest = ({ pending }: ConnectionState): IncomingMessage | undefined => (
   [...pending].map(({ req }) => req).find(({ complete }) => !complete));
@@ -81,10 +92,10 @@
  * must stay true.
  */
 export function refuseInput(code: RefusalCode, socket: Socket, state: ConnectionState) {
-  const isAnswerDue = [...state.pending].some(isAwaited);
-  const hasLeft = !socket.writable || (isAnswerDue && socket.readableEnded);
+  const isDue = isAnswerDue(state);
+  const hasLeft = !socket.writable || (isDue && socket.readableEnded);
   if (hasLeft) socket.destroy();
-  else if (isAnswerDue) closeAfterAnswers(socket, state);
+  else if (isDue) closeAfterAnswers(socket, state);
   else {
     discardInput(socket);
     sendRefusal(code, socket);
--- a/packages/wire/src/http/intake.ts
+++ b/packages/wire/src/http/intake.ts
@@ -16,7 +16,10 @@
   headerTimeoutMs(): number;
 }
 
-/** Starts to watch a connection, whose input then passes through JavaScript to the parser. */
+/**
+ * Starts to watch a connection, whose input then passes through JavaScript to the parser. Returns a
+ * function that tells whether part of a head has arrived, or of an empty line before one.
+ */
 export function watchIntake(
   socket: Socket,
   state: ConnectionState,
@@ -82,4 +85,5 @@
     if (account) receiveBody(length, account);
   });
   socket.once('close', endHead);
+  return () => headBytes > 0;
 }
--- a/packages/wire/src/http/listener.ts
+++ b/packages/wire/src/http/listener.ts
@@ -10,13 +10,12 @@
 import {
   createClientErrorHandler, createConnectionState, type ConnectionState,
 } from './client-errors.js';
+import { limitConnections, maxRefusedConnections } from './connection-limit.js';
 import { watchIntake } from './intake.js';
 import { afterNextRead } from './next-read.js';
 import { createMemoryRefusal, type RequestMemory } from './request-memory.js';
 import { abortConnection } from './reset.js';
 
-/** Connections over `maxConnections` that still get a refusal as response; the rest are closed. */
-const maxRefusedConnections = 128;
 const timeoutCheckMs = 500;
 
 export interface HttpListenerOptions {
@@ -76,6 +75,7 @@
     headersTimeout: limits.headerTimeoutMs,
     requestTimeout: limits.bodyTimeoutMs,
     keepAliveTimeout: limits.keepAliveTimeoutMs,
+    handshakeTimeout: limits.headerTimeoutMs,
     connectionsCheckingInterval: timeoutCheckMs,
     noDelay: true,
   };
@@ -83,13 +83,16 @@
     ? createTlsServer({ ...options, ...limits.tls })
     : createServer(options);
   server.maxConnections = limits.maxConnections + maxRefusedConnections;
+  const isOverLimit = limitConnections(server, {
+    maxConnections: limits.maxConnections, isTls: limits.tls !== undefined, connections,
+  });
 
   server.on(limits.tls ? 'secureConnection' : 'connection', (socket: Socket) => {
-    if (connections.size >= limits.maxConnections) refusedSockets.add(socket);
+    if (isOverLimit(socket)) refusedSockets.add(socket);
     const state = createConnectionState();
     connections.set(socket, state);
     socket.once('close', () => connections.delete(socket));
-    watchIntake(socket, state, {
+    state.hasPartialHead = watchIntake(socket, state, {
       memory,
       maxHeaderBytes: maxPartialHeaderBytes,
       headerTimeoutMs: () => server.headersTimeout,
@@ -101,6 +104,7 @@
     state.requests += 1;
     state.pending.add(res);
     state.last = req;
+    state.lastProgressAt = performance.now();
     active += 1;
     const account = memory.openRequest(req);
     if (!hasBody(req)) account.complete();
@@ -110,6 +114,7 @@
       // A kept connection would hold its headers.
       if (state.last === req) state.last = undefined;
       state.pending.delete(res);
+      state.lastProgressAt = performance.now();
     });
   });
 
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -12,6 +12,7 @@
 export * from './http/reset.js';
 export * from './http/body.js';
 export * from './http/body-buffer.js';
+export * from './http/connection-choice.js';
 export * from './http/headers.js';
 export * from './http/listener.js';
 export * from './http/memory-budget.js';
