Limit the connections and requests on the internal ports too

Callers saw: 4,500 connections to the port for readiness, metrics or the relay take all 4,100 descriptors of a gateway, and nothing else is accepted.

They are listeners with limits of their own now: 64 connections for probes, 256 for the relay, and a memory of their own for requests, so that a crowd of callers does not shut them out.

--- a/packages/gateway/src/http/server.ts
+++ b/packages/gateway/src/http/server.ts
@@ -3,7 +3,9 @@
 import type { AddressInfo } from 'node:net';
 import restana from 'restana';
 import type { CallerLimits, Refusal } from '@verbenashunt/core';
-import { createHttpListener, type HttpListener, type RequestMemory } from '@verbenashunt/wire';
+import {
+  createHttpListener, createRequestMemory, type HttpListener, type RequestMemory,
+} from '@verbenashunt/wire';
 
 export interface Address {
   host: string;
@@ -133,9 +135,19 @@
   answer(): Promise<{ status: number; type: string; body: string }>;
 }
 
+/** Maximum number of connections for a probe; few processes ask, each for one answer. */
+const maxProbeConnections = 64;
+/** Limit on the memory in bytes of their requests. */
+const maxProbeBufferedBytes = 1024 * 1024;
+
 /** Serves GET requests for one path, for health checks or metrics. */
 export async function serveProbe({ host, port }: Address, { path, answer }: ProbeRoute) {
-  const app = restana();
+  const listener = createHttpListener({
+    ...internalLimits,
+    maxConnections: maxProbeConnections,
+    memory: createRequestMemory({ maxBufferedBytes: maxProbeBufferedBytes }),
+  });
+  const app = restana({ server: listener.server });
   app.get(path, async (_: unknown, res) => {
     const { status, type, body } = await answer();
     res.statusCode = status;
@@ -143,12 +155,12 @@
     res.setHeader('cache-control', 'no-store');
     res.end(body);
   });
-  const server = await app.start(port, host);
+  await app.start(port, host);
   return {
-    port: (server.address() as AddressInfo).port,
+    port: (listener.server.address() as AddressInfo).port,
     close() {
-      server.close();
-      server.closeAllConnections();
+      listener.stopListening();
+      listener.server.closeAllConnections();
     },
   };
 }
--- a/packages/gateway/src/relay/relay-server.ts
+++ b/packages/gateway/src/relay/relay-server.ts
@@ -24,7 +24,7 @@
 /** Limit on the memory in bytes of all requests that are being received or wait for answers. */
 const maxBufferedBytes = 4 * 1024 * 1024;
 /** Maximum number of connections of other entries, each of which keeps a few open. */
-const maxConnections = 512;
+const maxConnections = 256;
 /** Longest time in milliseconds for which a request waits for changes. */
 const maxWaitMs = 10_000;
 
--- a/packages/wire/src/http/listener.ts
+++ b/packages/wire/src/http/listener.ts
@@ -82,7 +82,8 @@
   const server: Server = limits.tls
     ? createTlsServer({ ...options, ...limits.tls })
     : createServer(options);
-  server.maxConnections = limits.maxConnections + maxRefusedConnections;
+  server.maxConnections = limits.maxConnections
+    + Math.min(limits.maxConnections, maxRefusedConnections);
   const isOverLimit = limitConnections(server, {
     maxConnections: limits.maxConnections, isTls: limits.tls !== undefined, connections,
   });
