Refuse in a planned stop what is still being received and can't be served any more

Callers saw: with 1,000 clients that never complete their bodies a stop takes 10.2 s of a grace time of 10, after which the process is killed, with all that it still has.

Cause: a request counts as in flight once its head has arrived, and whether it may still be served in a stop was asked before and after its body, not meanwhile. The drain waited for bodies that never come.

Requests whose bodies are being received are refused as soon as it is known that they would be refused after it: at the start of the stop, and from when nothing long is sent any more.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -261,7 +261,7 @@
   const mayServe = () => config.view !== undefined
     && (hasReadAll() || clock.now() - configuredAt > maxFirstReadMs);
 
-  const handle = createCallerHandler({
+  const { handle, refuseIncomplete } = createCallerHandler({
     clock,
     random,
     log: requestLog,
@@ -314,7 +314,9 @@
     async stop(signal) {
       const { startedAt: stoppingAt, graceMs } = stopping.start(() => {
         [...runs].forEach((waiting) => waiting.refuseIfTooLate());
+        refuseIncomplete();
       });
+      refuseIncomplete();
       log.info({ inFlight: runs.size }, 'stopping');
       lease.announceStop(graceMs);
       const isComplete = await drain({
--- a/packages/gateway/src/http/caller-handler.ts
+++ b/packages/gateway/src/http/caller-handler.ts
@@ -4,7 +4,8 @@
   BaseError, createRefusal, toRefusal, type Clock, type Refusal, type ServingView,
 } from '@verbenashunt/core';
 import {
-  afterNextRead, canRespond, createMemoryRefusal, hasBody, isBodyUnread, type BodyReader,
+  afterNextRead, canRespond, createMemoryRefusal, hasBody, isBodyUnread,
+  type BodyLimits, type BodyReader,
 } from '@verbenashunt/wire';
 import type { GatewayMetrics } from '../metrics.js';
 import type { CallerProtocol, CallerRequest } from '../ports.js';
@@ -13,6 +14,9 @@
 import type { RequestSpec } from '../requests/spec.js';
 import { headerBytesOf } from './server.js';
 
+/** A request without its body, which may still be on its way. */
+type RequestHead = Omit<RequestSpec, 'body'>;
+
 export interface CallerHandlerDeps {
   clock: Clock;
   random: () => number;
@@ -25,7 +29,7 @@
   /** Whether the entry is stopping. */
   isStopping(): boolean;
   /** Returns a refusal if the entry is stopping and the request could no longer complete. */
-  refusalWhileStopping(spec: Omit<RequestSpec, 'body'>): Refusal | undefined;
+  refusalWhileStopping(spec: RequestHead): Refusal | undefined;
   /** Whether other requests need the memory of this one, which must not run then. */
   hasGivenWay(req: IncomingMessage): boolean;
   /** Why the request must not run, as it crashes targets; undefined if it may run. */
@@ -40,6 +44,19 @@
 export function createCallerHandler(deps: CallerHandlerDeps) {
   const { callers } = deps;
 
+  /** Requests whose bodies are being received, with what ends that. */
+  const receiving = new Map<AbortController, RequestHead>();
+
+  async function receiveBody(req: IncomingMessage, head: RequestHead, limits: BodyLimits) {
+    const controller = new AbortController();
+    receiving.set(controller, head);
+    try {
+      return await deps.readBody(req, { ...limits, signal: controller.signal });
+    } finally {
+      receiving.delete(controller);
+    }
+  }
+
   /** Reads the body and returns the request; throws a refusal if it can't be served. */
   async function admit(
     req: IncomingMessage,
@@ -55,7 +72,7 @@
     if (refusal) throw refusal;
     const timeLeftMs = Math.max(0, specWithoutBody.expiresAt - deps.clock.now());
     const body = hasBody(req)
-      ? await deps.readBody(req, { maxBytes: maxBodyBytes, timeoutMs: timeLeftMs })
+      ? await receiveBody(req, specWithoutBody, { maxBytes: maxBodyBytes, timeoutMs: timeLeftMs })
       : undefined;
     // The body may have taken most of the grace time.
     const lateRefusal = deps.refusalWhileStopping(specWithoutBody);
@@ -78,7 +95,7 @@
     if (!res.headersSent) callers.refuse(res, refusal, caller?.id);
   }
 
-  return async function handle(
+  async function handle(
     req: IncomingMessage,
     res: ServerResponse,
     connectionRefusal: Refusal | undefined,
@@ -99,5 +116,16 @@
       if (isBodyUnread(req) || connectionRefusal) res.shouldKeepAlive = false;
       refuse(res, caller, err);
     }
+  }
+
+  return {
+    handle,
+    /** Refuses the requests that are being received and can't be served before the entry stops. */
+    refuseIncomplete() {
+      receiving.forEach((head, controller) => {
+        const refusal = deps.refusalWhileStopping(head);
+        if (refusal) controller.abort(refusal);
+      });
+    },
   };
 }
--- a/packages/wire/src/http/body.ts
+++ b/packages/wire/src/http/body.ts
@@ -20,6 +20,8 @@
   maxBytes: number;
   /** Time in milliseconds in which it has to be complete; that of the server by default. */
   timeoutMs?: number;
+  /** Ends the read; its reason is the refusal that the read rejects with. */
+  signal?: AbortSignal;
 }
 
 /**
@@ -30,7 +32,7 @@
 
 /** Creates a reader of the bodies of requests that are accounted for in `memory`. */
 export function createBodyReader(memory: Pick<RequestMemory, 'of'>): BodyReader {
-  return async (req, { maxBytes, timeoutMs }) => {
+  return async (req, { maxBytes, timeoutMs, signal }) => {
     const declared = Number(req.headers['content-length'] ?? 0);
     const account = memory.of(req);
     const tooLarge = () => createRefusal('body_too_large', { detail: `limit ${maxBytes} bytes` });
@@ -46,6 +48,7 @@
           reject(refusal);
         };
         account?.onGiveWay(() => refuse(createMemoryRefusal()));
+        signal?.addEventListener('abort', () => refuse(signal.reason as Refusal));
         if (timeoutMs !== undefined) {
           timer = setTimeout(() => refuse(createRefusal('request_timeout')), timeoutMs);
         }
