Take all header lines of a request, within the limit on their size

Callers saw: a request of 8 KB with 1,100 short header lines before 'content-length: 5' reaches the target with an empty body and is answered 200; with its key after them it gets 401, in both modes.

Cause: Node.js hands over about 1,000 lines by default and drops the rest without a word, while its parser knows them all. The size of a head was counted from what was left.

The listener takes all lines; their memory counts, and their size is limited as before, now also where lines had been dropped (431).

--- a/packages/stand-ins/src/http/server.ts
+++ b/packages/stand-ins/src/http/server.ts
@@ -29,6 +29,8 @@
     });
   });
   server.requestTimeout = 0;
+  // By default lines over a certain number are dropped.
+  server.maxHeadersCount = 0;
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, host, resolve);
--- a/packages/wire/src/http/listener.ts
+++ b/packages/wire/src/http/listener.ts
@@ -82,6 +82,9 @@
   const server: Server = limits.tls
     ? createTlsServer({ ...options, ...limits.tls })
     : createServer(options);
+  // Node.js drops lines over its default of 1000 or so, `content-length` and keys among them. Their
+  // size is limited instead.
+  server.maxHeadersCount = 0;
   server.maxConnections = limits.maxConnections
     + Math.min(limits.maxConnections, maxRefusedConnections);
   const isOverLimit = limitConnections(server, {
