Refuse header names that are no tokens, and a Host that is missing or there twice

Callers saw, with Node 20.19.0 on arm64: 400 without a body for 'host : x'; 'x a: 1', 'idempotency-key : k' and 'request-id : r' pass as names with a space, and what they say is dropped or fails at the target. Two Hosts are taken for the first one.

Cause: the parser of that version takes a space in a name, and the missing host is refused by Node.js itself. On x86-64 the parser rejects such names.

The head of each request is checked where the listener hands it over, one copy for both modes, and refused with our body; nothing is reserved or sent.

--- a/packages/wire/src/http/listener.ts
+++ b/packages/wire/src/http/listener.ts
@@ -11,6 +11,7 @@
   createClientErrorHandler, createConnectionState, type ConnectionState,
 } from './client-errors.js';
 import { limitConnections, maxRefusedConnections } from './connection-limit.js';
+import { findHeadFault } from './head-check.js';
 import { watchIntake } from './intake.js';
 import { afterNextRead } from './next-read.js';
 import { createMemoryRefusal, type RequestMemory } from './request-memory.js';
@@ -46,8 +47,8 @@
   /** Number of responses that are not completely sent. */
   readonly active: number;
   /**
-   * Why the request must be refused at once, with its connection: it is over `maxConnections`, or
-   * there is no memory for the request. Undefined if it may be handled.
+   * Why the request must be refused at once, with its connection: it is over `maxConnections`,
+   * there is no memory for the request, or its head is malformed. Undefined if it may be handled.
    */
   refusalOf(req: IncomingMessage): Refusal | undefined;
   /** Accepts no further connections; `onClosed` follows when the open ones are closed. */
@@ -75,6 +76,8 @@
     headersTimeout: limits.headerTimeoutMs,
     requestTimeout: limits.bodyTimeoutMs,
     keepAliveTimeout: limits.keepAliveTimeoutMs,
+    // Checked in `refusalOf`, as Node.js refuses without a body.
+    requireHostHeader: false,
     handshakeTimeout: limits.headerTimeoutMs,
     connectionsCheckingInterval: timeoutCheckMs,
     noDelay: true,
@@ -148,7 +151,9 @@
     },
     refusalOf(req) {
       if (refusedSockets.has(req.socket)) return createRefusal('too_many_connections');
-      return memory.of(req)?.hasGivenWay ? createMemoryRefusal() : undefined;
+      if (memory.of(req)?.hasGivenWay) return createMemoryRefusal();
+      const fault = findHeadFault(req);
+      return fault === undefined ? undefined : createRefusal('bad_request', { detail: fault });
     },
     stopListening(onClosed) {
       // The HTTP server's own `close` also destroys kept connections, on which a request may have
