Take an answer whose status is none of HTTP's for a failure of its target

Reported from other systems: a server in trouble answers with status 000, and the client gets it as an answer. Here 000 and 099 were never passed on, as they were skipped like informational answers; 600 and 999 were. In the own mode such a status also breaks the schema of the message between agent and entry, for which the connection with all its requests is closed (by reading, not tried).

Cause: the parser takes any three digits, and no one checked them.

A status outside 100 to 599 ends the exchange as failed: it is retried where that is allowed, and otherwise its outcome is unknown. Both modes share the exchange.

--- a/packages/wire/src/exchange.ts
+++ b/packages/wire/src/exchange.ts
@@ -64,6 +64,12 @@
 
 /** Lowest status that is not informational. */
 const minFinalStatus = 200;
+const minStatus = 100;
+const maxStatus = 599;
+
+/** Whether a status is one of HTTP's five classes; a parser takes any three digits. */
+export const isValidStatus = (status: number) => status >= minStatus && status <= maxStatus;
+
 const statusNoContent = 204;
 const statusNotModified = 304;
 /** Maximum number of informational (1xx) responses before a response. */
@@ -156,6 +162,10 @@
       },
       onResponseStart(_, status, headers) {
         if (isFinished) return;
+        if (!isValidStatus(status)) {
+          fail(new TargetError(`${address} sent the status ${status}`));
+          return;
+        }
         if (status < minFinalStatus) {
           informational += 1;
           if (informational > maxInformational) fail(new TargetError(`${address} sent over ${maxInformational} informational responses`));
