Move the state of a connection and the refusal of its input to a module of their own

The handler of parser errors had become the place for what the intake and the connection limit use as well. The limits of servers that only other processes call stand once, for gateway and agent. No change of behaviour.

--- a/packages/agent/src/http/server.ts
+++ b/packages/agent/src/http/server.ts
@@ -2,18 +2,12 @@
 import type { AddressInfo } from 'node:net';
 import restana from 'restana';
 import {
-  addHealthRoutes, createHttpListener, createRequestMemory, type HealthSource,
+  addHealthRoutes, createHttpListener, createRequestMemory, internalServerLimits,
+  type HealthSource,
 } from '@verbenashunt/wire';
 
-/** Limits for the few processes that ask for health or metrics. */
-const limits = {
-  maxConnections: 64,
-  maxHeaderBytes: 16 * 1024,
-  headerTimeoutMs: 10_000,
-  bodyTimeoutMs: 30_000,
-  keepAliveTimeoutMs: 65_000,
-  streamStallTimeoutMs: 60_000,
-};
+/** Maximum number of connections; few processes ask for health or metrics. */
+const maxConnections = 64;
 /** Limit on the memory in bytes of their requests. */
 const maxBufferedBytes = 1024 * 1024;
 
@@ -28,7 +22,7 @@
   source: HealthSource,
 ): Promise<AgentHttp> {
   const listener = createHttpListener({
-    ...limits, memory: createRequestMemory({ maxBufferedBytes }),
+    ...internalServerLimits, maxConnections, memory: createRequestMemory({ maxBufferedBytes }),
   });
   const app = restana({ server: listener.server });
   addHealthRoutes(app, source);
--- a/packages/gateway/src/http/server.ts
+++ b/packages/gateway/src/http/server.ts
@@ -4,7 +4,8 @@
 import restana from 'restana';
 import type { CallerLimits, Refusal } from '@verbenashunt/core';
 import {
-  createHttpListener, createRequestMemory, type HttpListener, type RequestMemory,
+  createHttpListener, createRequestMemory, internalServerLimits,
+  type HttpListener, type RequestMemory,
 } from '@verbenashunt/wire';
 
 export interface Address {
@@ -31,15 +32,6 @@
   return firstLine + texts + (rawHeaders.length / 2) * lineOverheadBytes;
 }
 
-/** Limits of the servers for other processes of the platform, which send small requests. */
-export const internalLimits = {
-  maxHeaderBytes: 16 * 1024,
-  headerTimeoutMs: 10_000,
-  bodyTimeoutMs: 30_000,
-  keepAliveTimeoutMs: 65_000,
-  streamStallTimeoutMs: stallTimeoutMs,
-};
-
 export interface CallerServer {
   readonly port: number;
   /** Number of answers that have not been sent completely. */
@@ -143,7 +135,7 @@
 /** Serves GET requests for one path, for health checks or metrics. */
 export async function serveProbe({ host, port }: Address, { path, answer }: ProbeRoute) {
   const listener = createHttpListener({
-    ...internalLimits,
+    ...internalServerLimits,
     maxConnections: maxProbeConnections,
     memory: createRequestMemory({ maxBufferedBytes: maxProbeBufferedBytes }),
   });
--- a/packages/gateway/src/relay/relay-server.ts
+++ b/packages/gateway/src/relay/relay-server.ts
@@ -5,9 +5,11 @@
  */
 import type { AddressInfo } from 'node:net';
 import restana from 'restana';
-import { createBodyReader, createHttpListener, createRequestMemory } from '@verbenashunt/wire';
+import {
+  createBodyReader, createHttpListener, createRequestMemory, internalServerLimits,
+} from '@verbenashunt/wire';
 import { announcementPath, type AnnouncedRow } from './announcements.js';
-import { internalLimits, type Address } from '../http/server.js';
+import type { Address } from '../http/server.js';
 import { encodeChanges } from './encoding.js';
 import { addLoadRoutes, type LoadReceiver } from '../load/load-server.js';
 import { tokenPath, type RateLimiter } from '../targets/rate-limiter.js';
@@ -51,7 +53,7 @@
   }: RelayServerDeps,
 ): Promise<RelayServer> {
   const memory = createRequestMemory({ maxBufferedBytes });
-  const { server } = createHttpListener({ ...internalLimits, maxConnections, memory });
+  const { server } = createHttpListener({ ...internalServerLimits, maxConnections, memory });
   const app = restana({ server });
   const readBody = createBodyReader(memory);
   app.get(`${relayPath}/:table`, async (req, res) => {
--- a/packages/wire/src/http/connection-limit.ts
+++ b/packages/wire/src/http/connection-limit.ts
@@ -1,7 +1,7 @@
 /** Limits the open connections of a server, so that those without requests make room for others. */
 import type { Server } from 'node:http';
 import type { Socket } from 'node:net';
-import { isAnswerDue, refuseInput, type ConnectionState } from './client-errors.js';
+import { isAnswerDue, refuseInput, type ConnectionState } from './connection-state.js';
 import { chooseToClose } from './connection-choice.js';
 
 /** Connections over the limit that still get a refusal as response; the rest are closed. */
--- a/packages/wire/src/http/intake.ts
+++ b/packages/wire/src/http/intake.ts
@@ -4,7 +4,7 @@
  */
 import type { Socket } from 'node:net';
 import type { RefusalCode } from '@verbenashunt/core';
-import { refuseInput, type ConnectionState } from './client-errors.js';
+import { refuseInput, type ConnectionState } from './connection-state.js';
 import { afterNextRead } from './next-read.js';
 import type { HeadAccount, RequestAccount, RequestMemory } from './request-memory.js';
 
--- a/packages/wire/src/http/listener.ts
+++ b/packages/wire/src/http/listener.ts
@@ -7,10 +7,9 @@
 import { createRefusal, type Refusal } from '@verbenashunt/core';
 import type { TlsCredentials } from '../tls.js';
 import { hasBody } from './body.js';
-import {
-  createClientErrorHandler, createConnectionState, type ConnectionState,
-} from './client-errors.js';
+import { createClientErrorHandler } from './client-errors.js';
 import { limitConnections, maxRefusedConnections } from './connection-limit.js';
+import { createConnectionState, type ConnectionState } from './connection-state.js';
 import { findHeadFault } from './head-check.js';
 import { watchIntake } from './intake.js';
 import { afterNextRead } from './next-read.js';
@@ -25,7 +24,7 @@
   maxHeaderBytes: number;
   /** Lower limit for heads that arrive in parts, separators included; the same by default. */
   maxPartialHeaderBytes?(): number;
-  /** Memory of the requests of all servers of the process. */
+  /** Accounts of the memory of its requests; servers may share them. */
   memory: RequestMemory;
   headerTimeoutMs: number;
   bodyTimeoutMs: number;
@@ -36,6 +35,15 @@
   tls?: TlsCredentials | undefined;
 }
 
+/** Limits for servers that other processes of the system call, with small requests. */
+export const internalServerLimits = {
+  maxHeaderBytes: 16 * 1024,
+  headerTimeoutMs: 10_000,
+  bodyTimeoutMs: 30_000,
+  keepAliveTimeoutMs: 65_000,
+  streamStallTimeoutMs: 60_000,
+};
+
 /**
  * Whether a response can still reach its client; if not, the client must not expect that its
  * request is handled. An earlier response or refusal may have closed the connection.
--- a/packages/wire/src/http/request-memory.ts
+++ b/packages/wire/src/http/request-memory.ts
@@ -129,7 +129,7 @@
   };
 }
 
-/** Creates the accounts of a process; all its servers share them. */
+/** Creates accounts with a common limit. */
 export function createRequestMemory({ maxBufferedBytes }: RequestMemoryOptions): RequestMemory {
   const budget = createMemoryBudget({ limitBytes: maxBufferedBytes });
   const accounts = new WeakMap<IncomingMessage, RequestAccount>();
