--- a/packages/wire/src/http/connection-limit.ts
+++ b/packages/wire/src/http/connection-limit.ts
@@ -45,7 +45,7 @@
     if (!socket) return;
     const state = connections.get(socket)!;
     if (state.hasPartialHead() || state.pending.size > 0) refuseInput('too_many_connections', socket, state);
-    // Reset or closed, as its client reads the refusal or has nothing to read.
+    // Closes the connection once the refusal, if there is one, has been sent.
     socket.destroySoon();
   }
 
